--- /dev/null
+++ b/cmd/magpiebank-sim/main.go
@@ -0,0 +1,16 @@
+// Magpiebank-sim hosts routers' decisions on the bench's wire, on standard input and output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"magpiebank/internal/simwire"
+)
+
+func main() {
+	if err := simwire.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "magpiebank-sim:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,879 @@
+package admission
+
+// All decisions are in this file. The router's protocol side makes one Router at start (New) and then calls
+// one method for each thing that happens: Listed, Arrived, Ended, Noted, ClientGone, Probed, Due. Each acts
+// at once through the Host of host.go; types and ids are in types.go, what is read at start in deployment.go.
+// Calls of one Router come one at a time, with a clock that never goes back. docs/design.md gives the reasons.
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+)
+
+// Router decides for one gateway from what this gateway alone has seen.
+type Router struct {
+	host    Host
+	d       *Deployment
+	rng     *rand.Rand
+	now     Time
+	tasks   []task // the slab; places are reused
+	free    []int32
+	byID    map[TaskID]int32
+	turns   map[string]turn
+	engines []engine
+	named   map[EngineID]int32
+	queues  []queue   // held tasks, by tenant and lane
+	ladder  []int     // lanes, highest earnings first
+	used    []float64 // threads running, by tenant
+	lanes   []learned
+	held    int
+	seq     uint64
+	step    float64 // threads of one query: the mean declared for our lanes
+	takes   []span  // tasks taken and further hand-offs, for the ration
+	pace    Time    // between probes of an engine
+	taken   float64 // tasks a second, as seen
+	late    Time    // when running tasks were last looked over
+}
+
+// task is a task in hand: held, or handed off and without an outcome.
+type task struct {
+	id                       TaskID
+	key                      string
+	lane, tenant, tables     int
+	arrived, cutoff, quoted  Time
+	work                     Time // as estimated; 0: not told
+	memory                   float64
+	seq                      uint64
+	tries                    int
+	out, gone, mayRan, drawn bool // drawn: its plan was drawn anew once already
+	queued                   bool
+	engine                   int32 // of the last hand-off
+	sentAt, doubtAt          Time
+	doubtZone, doubtGroup    int
+	rank                     int
+	prev, next, after        int32 // in its queue; the next of its key
+}
+
+// turn is the line of tasks that share a key: the first may be handed off once the key has rested.
+type turn struct {
+	first, last int32
+	rest        Time
+}
+
+type queue struct{ first, last int32 }
+
+// learned is what answers have told of a lane.
+type learned struct {
+	run    float64 // time from hand-off to answer
+	work   float64 // time on one thread
+	memory float64
+	seen   bool
+	rank   int
+}
+
+type engine struct {
+	Listing
+	listed     bool
+	cores      float64
+	bound      float64 // threads
+	running    float64 // threads of our hand-offs without an outcome
+	ghosts     []ghost // threads of timed-out hand-offs that the engine may still work on
+	ghostly    float64
+	report     Report
+	reportAt   Time // when it last changed
+	sinceAt    Time
+	since      float64 // threads sent since that are still running
+	steppedAt  Time
+	probedAt   Time
+	probing    bool
+	lucky      bool // may get the one query that a bound of zero allows
+	distrust   float64
+	distrustAt Time
+	closed     bool
+	cold       []sent // hand-offs within the span in which a cold engine can fall over
+}
+
+type ghost struct {
+	until   Time
+	threads float64
+}
+
+type sent struct {
+	at   Time
+	work float64
+}
+
+// span counts what happened in one part of the ration's window.
+type span struct {
+	index        Time
+	taken, extra float64
+}
+
+const none = int32(-1)
+
+// tick is the timer's pace: a held task is given up at most this late, well within the answer's slack.
+const tick = 20 * Millisecond
+
+// New makes a router that knows no engine yet.
+func New(now Time, seed int64, d *Deployment, host Host) *Router {
+	r := &Router{host: host, d: d, rng: rand.New(rand.NewSource(seed)), now: now, byID: map[TaskID]int32{},
+		turns: map[string]turn{}, named: map[EngineID]int32{}, lanes: make([]learned, len(d.Lanes)),
+		used: make([]float64, max(1, len(d.Tenants))), pace: slowestProbe, late: now}
+	for i := range d.Lanes {
+		l := &d.Lanes[i]
+		r.step += float64(l.Threads) / float64(len(d.Lanes))
+		r.ladder = append(r.ladder, i)
+		// Until answers tell, a task is taken to use up its quoted time: rather too much than too little.
+		r.lanes[i] = learned{run: float64(l.Quoted), work: float64(l.Quoted) * float64(l.Threads), rank: 1}
+	}
+	slices.SortStableFunc(r.ladder, func(a, b int) int {
+		return int(math.Copysign(1, d.Lanes[b].Earnings-d.Lanes[a].Earnings))
+	})
+	for range len(r.used) * len(d.Lanes) {
+		r.queues = append(r.queues, queue{none, none})
+	}
+	if d.ExtraSpan > 0 {
+		r.takes = make([]span, spans+1)
+	}
+	if d.Asks {
+		host.Subscribe()
+	}
+	host.Wake(now + tick)
+	return r
+}
+
+// Listed takes in a delivery of the engine list.
+func (r *Router) Listed(now Time, form Form, list []Listing) {
+	r.now = now
+	if form == NoAnswer {
+		if r.d.Asks {
+			r.host.Subscribe()
+		}
+		return
+	}
+	if form != Changes {
+		for i := range r.engines {
+			r.engines[i].listed = false
+		}
+	}
+	for _, l := range list {
+		i, known := r.named[l.Engine]
+		if !known {
+			i = r.place(l)
+		}
+		e := &r.engines[i]
+		restarted := known && l.Since > e.Since
+		e.Listing, e.listed = l, true
+		if !known || restarted {
+			e.cores = 1
+			if l.Kind >= 0 && l.Kind < len(r.d.Cores) {
+				e.cores = max(1, r.d.Cores[l.Kind])
+			}
+			e.bound, e.distrust, e.report, e.closed = r.startBound(e), 0, NoReport, false
+			e.reportAt, e.probedAt, e.cold = now, now-slowestProbe, e.cold[:0]
+		}
+	}
+	for i := range r.engines {
+		if e := &r.engines[i]; !e.listed {
+			e.State = Gone
+		}
+	}
+	r.release()
+}
+
+// place finds room for a new engine; that of one which is gone and owes nothing is used again.
+func (r *Router) place(l Listing) int32 {
+	i := slices.IndexFunc(r.engines, func(e engine) bool { return e.State == Gone && e.running == 0 && !e.probing })
+	if i < 0 {
+		i = len(r.engines)
+		r.engines = append(r.engines, engine{})
+	} else {
+		delete(r.named, r.engines[i].Engine)
+		r.engines[i] = engine{}
+	}
+	r.named[l.Engine] = int32(i)
+	return int32(i)
+}
+
+// startBound is an engine's first bound. Above one thread a core lies the level at which an engine does the
+// most work; a cold one gets its share of that.
+func (r *Router) startBound(e *engine) float64 {
+	const startThreads = 1.5
+	b := startThreads * e.cores / float64(r.d.Gateways)
+	if r.isCold(e) {
+		b *= r.d.ColdShare
+	}
+	return max(1, math.Round(b))
+}
+
+// Arrived takes a task from a client. From here on it is owed one final answer.
+func (r *Router) Arrived(now Time, id TaskID, cutoff Time, lane, tenant int, key string, tables int,
+	work Time, memory float64) {
+	r.now = now
+	if tenant < 0 || tenant >= len(r.used) {
+		tenant = 0
+	}
+	i := none
+	if n := len(r.free); n > 0 {
+		i, r.free = r.free[n-1], r.free[:n-1]
+	} else {
+		i = int32(len(r.tasks))
+		r.tasks = append(r.tasks, task{})
+	}
+	l := &r.d.Lanes[lane]
+	r.seq++
+	r.taken++
+	t := &r.tasks[i]
+	*t = task{id: id, lane: lane, tenant: tenant, tables: tables, arrived: now, cutoff: cutoff, work: work,
+		memory: memory, seq: r.seq, engine: none, rank: 1, prev: none, next: none, after: none}
+	r.byID[id] = i
+	length := float64(work)
+	if work == 0 {
+		length = r.lanes[lane].work
+	}
+	t.quoted = min(cutoff, now+l.Quoted+Time(l.Stretch*length/float64(l.Threads)))
+	if s := r.span(); s != nil {
+		s.taken++
+	}
+	if l.InOrder && key != "" {
+		t.key = key
+		line, ok := r.turns[key]
+		if ok && line.first != none {
+			r.tasks[line.last].after = i
+			line.last = i
+			r.turns[key] = line
+			return // held behind its key, in no queue yet
+		}
+		line.first, line.last = i, i
+		r.turns[key] = line
+	}
+	r.hold(i)
+	r.release()
+}
+
+// hold puts a task into its queue, in the order of arrival.
+func (r *Router) hold(i int32) {
+	t := &r.tasks[i]
+	q := &r.queues[t.tenant*len(r.d.Lanes)+t.lane]
+	before := q.last
+	for before != none && r.tasks[before].seq > t.seq {
+		before = r.tasks[before].prev
+	}
+	t.prev, t.queued = before, true
+	if before == none {
+		t.next, q.first = q.first, i
+	} else {
+		t.next, r.tasks[before].next = r.tasks[before].next, i
+	}
+	if t.next == none {
+		q.last = i
+	} else {
+		r.tasks[t.next].prev = i
+	}
+	r.held++
+}
+
+// unhold takes a task out of its queue.
+func (r *Router) unhold(i int32) {
+	t := &r.tasks[i]
+	if !t.queued {
+		return
+	}
+	q := &r.queues[t.tenant*len(r.d.Lanes)+t.lane]
+	if t.prev == none {
+		q.first = t.next
+	} else {
+		r.tasks[t.prev].next = t.next
+	}
+	if t.next == none {
+		q.last = t.prev
+	} else {
+		r.tasks[t.next].prev = t.prev
+	}
+	t.prev, t.next, t.queued = none, none, false
+	r.held--
+}
+
+// release hands off held tasks while engines have room: by tenant fairness (the fewest threads in use for its
+// share first), then earnings, then arrival.
+func (r *Router) release() {
+	for r.held > 0 && r.releaseOne() {
+	}
+}
+
+func (r *Router) releaseOne() bool {
+	tried := uint64(0)
+	for range r.used {
+		best := -1
+		for n := range r.used {
+			if tried&(1<<n) == 0 && (best < 0 || r.use(n) < r.use(best)) {
+				best = n
+			}
+		}
+		tried |= 1 << best
+		for _, lane := range r.ladder {
+			for i := r.queues[best*len(r.d.Lanes)+lane].first; i != none; i = r.tasks[i].next {
+				t := &r.tasks[i]
+				if e := r.draw(t); e != none && r.handOff(i, e) {
+					return true
+				}
+				if t.tries == 0 && t.key == "" {
+					break // what follows it in this lane has no more choice than this one
+				}
+			}
+		}
+	}
+	return false
+}
+
+// use is a tenant's threads running over its share.
+func (r *Router) use(n int) float64 {
+	if len(r.d.Tenants) == 0 {
+		return 0
+	}
+	return r.used[n] / max(0.001, r.d.Tenants[n].Share)
+}
+
+// draw picks an engine at random, weighted down by the utilisation it reported, or by our own busy share of
+// its bound, plus what we sent since.
+func (r *Router) draw(t *task) int32 {
+	if !r.mayTry(t) {
+		return none
+	}
+	total, pick := 0.0, none
+	least := r.leastDistrust()
+	for i := range r.engines {
+		e := &r.engines[i]
+		if !r.open(e, least) || !r.mayUse(t, e) {
+			continue
+		}
+		// A square sets engines apart clearly while a few per cent of noise in reports matters little;
+		// one that reports itself full keeps a small chance, so that an old report doesn't shut it out.
+		const steep, floor = 2, 0.05
+		w := e.cores * math.Pow(max(floor, 1.1-r.load(e)), steep) * r.trust(e, least)
+		if int32(i) == t.engine {
+			w *= floor // a further hand-off rather goes elsewhere
+		}
+		total += w
+		if r.rng.Float64()*total < w {
+			pick = int32(i)
+		}
+	}
+	return pick
+}
+
+// load is the share of an engine that is busy as far as we know.
+func (r *Router) load(e *engine) float64 {
+	if e.report.Util >= 0 && r.now-e.reportAt < stale {
+		return e.report.Util + e.since/e.cores
+	}
+	return (e.running + e.ghostly) / max(1, e.bound)
+}
+
+// open tells whether an engine has room under its bound. Distrust narrows it, down to nothing.
+func (r *Router) open(e *engine, least float64) bool {
+	if e.State != Live || r.score(e)-least >= shut {
+		return false
+	}
+	if e.bound < 1 {
+		return e.running == 0 && e.lucky
+	}
+	return e.running+e.ghostly < e.bound*r.trust(e, least)
+}
+
+// mayTry is the part of the rules that doesn't depend on the engine: one hand-off at a time, none after the
+// end, the order of keys, the most hand-offs of a task, the ration of further ones.
+func (r *Router) mayTry(t *task) bool {
+	if t.out || t.gone || r.now >= t.cutoff || (r.d.MaxTries > 0 && t.tries >= r.d.MaxTries) {
+		return false
+	}
+	if t.key != "" {
+		if line := r.turns[t.key]; r.tasks[line.first].id != t.id || r.now < line.rest && t.tries == 0 {
+			return false
+		}
+	}
+	return r.mayRepeat(t) && (t.tries == 0 || r.rationed())
+}
+
+// mayRepeat tells whether the task's lane allows a hand-off to any engine at all.
+func (r *Router) mayRepeat(t *task) bool {
+	l := &r.d.Lanes[t.lane]
+	return !t.mayRan || l.Effect == Idempotent || l.Effect == Deduplicated && r.now < t.doubtAt+l.Remember
+}
+
+// mayUse is the part of the rules that depends on the engine: drains, placement, the group that drops repeats
+// and the care for cold engines.
+func (r *Router) mayUse(t *task, e *engine) bool {
+	l := &r.d.Lanes[t.lane]
+	if e.State != Live || l.Zones != nil && !slices.Contains(l.Zones, e.Zone) ||
+		l.Kinds != nil && !slices.Contains(l.Kinds, e.Kind) {
+		return false
+	}
+	if t.mayRan && l.Effect == Deduplicated && (l.Within == SameZone && e.Zone != t.doubtZone ||
+		l.Within == SameCell && (e.Group != t.doubtGroup || e.Zone != t.doubtZone)) {
+		return false
+	}
+	return !r.isCold(e) || r.coldRoom(e, r.lanes[t.lane].work)
+}
+
+func (r *Router) isCold(e *engine) bool { return e.Since > 0 && r.now < e.Since+r.d.WarmAfter }
+
+// coldRoom tells whether a cold engine can be sent some work. All routers together may send a multiple of its
+// present capacity, of which only the least is known; each takes an equal part. Half of that is used: engines
+// are slower than their cores tell, and a lane's usual work is learned. A part too small for one task lets
+// one through in a span if the part itself holds it.
+func (r *Router) coldRoom(e *engine, work float64) bool {
+	const careful = 0.5
+	part := r.d.TipFactor * r.d.ColdShare * e.cores * float64(r.d.TipAfter) / float64(r.d.Gateways)
+	gone, sum := 0, 0.0
+	for _, s := range e.cold {
+		if s.at+r.d.TipAfter < r.now {
+			gone++
+		} else {
+			sum += s.work
+		}
+	}
+	e.cold = append(e.cold[:0], e.cold[gone:]...)
+	return sum+work <= part*careful || sum == 0 && work <= part*0.8
+}
+
+// The ration's window is counted in this many spans; one more is kept, so that whole spans cover the window.
+const spans = 50
+
+// span is the count for the present part of the ration's window; nil where there is no ration.
+func (r *Router) span() *span {
+	if r.takes == nil {
+		return nil
+	}
+	index := r.now / (r.d.ExtraSpan/spans + 1)
+	s := &r.takes[index%(spans+1)]
+	if s.index != index {
+		*s = span{index: index}
+	}
+	return s
+}
+
+// rationed tells whether one more further hand-off is within the ration: all further ones that may fall into
+// the window count, and only the tasks that surely do.
+func (r *Router) rationed() bool {
+	last := r.span()
+	if last == nil {
+		return true
+	}
+	taken, extra := 0.0, 1.0
+	for i := range r.takes {
+		s := &r.takes[i]
+		if s.index >= last.index-spans {
+			extra += s.extra
+			if s.index > last.index-spans+1 {
+				taken += s.taken
+			}
+		}
+	}
+	return extra <= r.d.ExtraFree+r.d.ExtraShare*taken
+}
+
+// handOff is the only place that sends a task to an engine. It holds the rules whatever was decided before.
+func (r *Router) handOff(i, to int32) bool {
+	t, e := &r.tasks[i], &r.engines[to]
+	if !r.mayTry(t) || !r.mayUse(t, e) {
+		return false
+	}
+	r.unhold(i)
+	l, learned := &r.d.Lanes[t.lane], &r.lanes[t.lane]
+	threads := float64(l.Threads)
+	t.out, t.engine, t.sentAt, t.rank = true, to, r.now, r.rankOf(t)
+	t.tries++
+	if t.tries > 1 {
+		if s := r.span(); s != nil {
+			s.extra++
+		}
+	}
+	if r.isCold(e) {
+		e.cold = append(e.cold, sent{r.now, learned.work})
+	}
+	e.running += threads
+	e.since += threads
+	e.lucky = false
+	r.used[t.tenant] += threads
+	grant := 0.0
+	if r.d.Grants && r.d.Swaps && learned.memory > 0 {
+		// Where an engine swaps, memory granted and not needed costs nothing and too little spills; needs
+		// scatter, and three times the mean covers nearly all.
+		const ample = 3
+		grant = ample * learned.memory
+	}
+	if grant > 0 || r.d.Ranked && t.rank != 1 {
+		r.host.Terms(t.id, grant, t.rank)
+	}
+	r.host.HandOff(t.id, e.Engine, t.cutoff-r.now)
+	return true
+}
+
+// rankOf is a task's priority on its engine: by what its lane earns for its work, and last once the quoted
+// time is past.
+func (r *Router) rankOf(t *task) int {
+	if !r.d.Ranked {
+		return 1
+	}
+	if r.now > t.quoted {
+		return 0
+	}
+	return r.lanes[t.lane].rank
+}
+
+// Ended takes in how the n-th hand-off of a task ended; over: the client has its answer.
+func (r *Router) Ended(now Time, id TaskID, n int, name EngineID, how Outcome, over bool, work Time,
+	memory float64, report Report) {
+	r.now = now
+	i, ok := r.byID[id]
+	if !ok || !r.tasks[i].out {
+		return
+	}
+	t := &r.tasks[i]
+	e, l := &r.engines[t.engine], &r.d.Lanes[t.lane]
+	threads := float64(l.Threads)
+	t.out = false
+	e.running -= threads
+	r.used[t.tenant] -= threads
+	if t.sentAt >= e.sinceAt {
+		e.since -= threads
+	}
+	switch how {
+	case Delivered:
+		r.learn(t, work, memory)
+	case Unreachable, Reset:
+		r.doubt(e, 2)
+	case Errored:
+		r.doubt(e, 0.5)
+	case Full:
+		r.stepBound(e, threshold)
+	case TimedOut:
+		if !r.d.Cancels {
+			// An engine that doesn't stop at a time-out works on; its threads count for a usual run more.
+			e.ghosts = append(e.ghosts, ghost{now + Time(r.lanes[t.lane].run), threads})
+			e.ghostly += threads
+		}
+	}
+	if how != Delivered && !how.NeverRan() {
+		if !t.mayRan {
+			t.mayRan, t.doubtAt, t.doubtZone, t.doubtGroup = true, t.sentAt, e.Zone, e.Group
+		}
+		if t.key != "" && r.d.Settle > 0 {
+			line := r.turns[t.key]
+			line.rest = now + r.d.Settle
+			r.turns[t.key] = line
+		}
+	}
+	if over || t.gone {
+		r.drop(i)
+	} else if how == Moot || !r.worthHolding(t) {
+		r.giveUp(i)
+	} else {
+		r.hold(i)
+	}
+	r.release()
+}
+
+// worthHolding tells whether a task can still be handed off in time.
+func (r *Router) worthHolding(t *task) bool {
+	return r.now < r.latest(t) && r.mayRepeat(t) && (r.d.MaxTries == 0 || t.tries < r.d.MaxTries)
+}
+
+// latest is until when holding a task has a useful chance: it must still earn something when it comes back
+// after its lane's usual run. It is always answered before its cut-off.
+func (r *Router) latest(t *task) Time {
+	end := t.cutoff
+	if r.d.Lanes[t.lane].LateShare == 0 {
+		end = t.quoted
+	}
+	usual := min(Time(r.lanes[t.lane].run), (end-t.arrived)/2)
+	return min(end-usual, t.cutoff-2*tick)
+}
+
+// giveUp is the only place that answers a task without an engine, and it does so at once: a nack where a
+// further try is harmless, else a write-off.
+func (r *Router) giveUp(i int32) {
+	t, l := &r.tasks[i], &r.d.Lanes[r.tasks[i].lane]
+	if t.out || t.gone {
+		return
+	}
+	if !t.mayRan || l.Effect == Idempotent || l.Effect == Deduplicated && l.Within == AllEngines {
+		r.host.Nack(t.id, r.d.ComeBack)
+	} else {
+		r.host.WriteOff(t.id)
+	}
+	r.drop(i)
+}
+
+// drop forgets a task that is over and has no hand-off out, and lets the next of its key have its turn.
+func (r *Router) drop(i int32) {
+	t := &r.tasks[i]
+	r.unhold(i)
+	delete(r.byID, t.id)
+	if t.key != "" {
+		line := r.turns[t.key]
+		if line.first == i {
+			line.first = t.after
+			if t.after != none {
+				r.hold(t.after)
+			}
+		} else {
+			p := line.first
+			for r.tasks[p].after != i {
+				p = r.tasks[p].after
+			}
+			r.tasks[p].after = t.after
+			if line.last == i {
+				line.last = p
+			}
+		}
+		if line.first == none && line.rest <= r.now {
+			delete(r.turns, t.key)
+		} else {
+			r.turns[t.key] = line
+		}
+	}
+	*t = task{}
+	r.free = append(r.free, i)
+}
+
+// ClientGone ends a task whose client left. A hand-off that is out still gets its outcome.
+func (r *Router) ClientGone(now Time, id TaskID) {
+	r.now = now
+	if i, ok := r.byID[id]; ok {
+		if t := &r.tasks[i]; t.out {
+			t.gone = true
+		} else {
+			r.drop(i)
+			r.release()
+		}
+	}
+}
+
+// learn takes a delivered task into its lane's usual figures.
+func (r *Router) learn(t *task, work Time, memory float64) {
+	const share = 0.05 // of the newest answer; some twenty answers make the figure, as work is widely spread
+	l, run := &r.lanes[t.lane], float64(r.now-t.sentAt)
+	cost := run * float64(r.d.Lanes[t.lane].Threads)
+	if r.d.TellsCost {
+		cost = float64(work)
+	} else if t.work > 0 {
+		cost = float64(t.work)
+	}
+	if !l.seen {
+		l.run, l.work, l.memory, l.seen = run, max(cost, l.work/4), memory, true
+		return
+	}
+	l.run += share * (run - l.run)
+	l.work += share * (cost - l.work)
+	l.memory += share * (memory - l.memory)
+}
+
+// rankLanes orders lanes by earnings for the work they take.
+func (r *Router) rankLanes() {
+	best := 0.0
+	for i := range r.lanes {
+		best = max(best, r.d.Lanes[i].Earnings/r.lanes[i].work)
+	}
+	for i := range r.lanes {
+		// Shares go 1:4:8:16 by rank; 0 stays for what is late.
+		switch v := r.d.Lanes[i].Earnings / r.lanes[i].work; {
+		case v >= 0.7*best:
+			r.lanes[i].rank = 3
+		case v >= 0.35*best:
+			r.lanes[i].rank = 2
+		default:
+			r.lanes[i].rank = 1
+		}
+	}
+}
+
+// Noted takes in news of a running hand-off.
+func (r *Router) Noted(now Time, id TaskID, n int, news News, value float64) {
+	r.now = now
+	i, ok := r.byID[id]
+	if !ok {
+		return
+	}
+	t := &r.tasks[i]
+	if !t.out || t.gone || t.tries != n+1 || news != Progress || !r.d.Cancels || t.drawn || t.mayRan ||
+		r.d.Lanes[t.lane].Effect != Idempotent || r.d.MaxTries > 0 && t.tries >= r.d.MaxTries {
+		return
+	}
+	// A bad plan is drawn anew at each hand-off. One that will take this many usual runs more is called off,
+	// once: a task that is slow again is long by itself. Harm: work done for nothing where it was long.
+	const badPlan = 4
+	spent := float64(now - t.sentAt)
+	left := spent * (1 - value) / max(value, 0.001)
+	if left > badPlan*r.lanes[t.lane].run && t.cutoff-now > Time(r.lanes[t.lane].run) {
+		t.drawn = true
+		r.host.Cancel(id, n)
+	}
+}
+
+// The signal's threshold: held queries a core times the mean declared threads.
+const threshold = 2
+
+// signal is how loaded an engine is, in units of the threshold. Where it reports no held queries, its
+// utilisation stands in; where it reports nothing, our own held count there does, for all gateways.
+func (r *Router) signal(e *engine) float64 {
+	const high, low = 0.9, 0.45
+	switch fresh := r.now-e.reportAt < stale; {
+	case fresh && e.report.Held >= 0:
+		return e.report.Held / e.cores * r.step
+	case fresh && e.report.Util > high:
+		return threshold
+	case fresh && e.report.Util > low:
+		return threshold * 0.75
+	case fresh && e.report.Util >= 0:
+		return 0
+	}
+	return (e.running + e.ghostly) * float64(r.d.Gateways) / e.cores
+}
+
+// stepBound is the step rule of the paper's CPULoad, one query at a time: down at the threshold unless none is
+// in use, up at half of it or less with every slot in use, and still between. The floor is zero.
+func (r *Router) stepBound(e *engine, signal float64) {
+	if signal >= threshold {
+		if e.running > 0 {
+			e.bound = max(0, e.bound-r.step)
+		}
+	} else if signal <= threshold/2.0 {
+		if e.running >= e.bound {
+			e.bound += r.step
+		}
+	}
+	e.steppedAt = r.now
+}
+
+// Probes are paced so that their price stays under probeBudget of the service (a figure too small to see in
+// it), within what keeps a signal useful: no more often than reports are commonly made anew, no less often
+// than an engine's load turns over.
+const (
+	probeBudget  = 0.003
+	fastestProbe = 200 * Millisecond
+	slowestProbe = 1 * Second
+	stale        = 3 * Second // a report that has not changed for so long says nothing of now
+)
+
+// Probed takes in the result of a probe.
+func (r *Router) Probed(now Time, name EngineID, how Outcome, report Report) {
+	r.now = now
+	i, ok := r.named[name]
+	if !ok {
+		return
+	}
+	e := &r.engines[i]
+	e.probing = false
+	if how != Delivered {
+		r.doubt(e, 1.5)
+		return
+	}
+	if report == NoReport || report == e.report {
+		return // the report we had: a step on it would count one sight twice
+	}
+	e.report, e.reportAt = report, now
+	e.sinceAt, e.since = now-r.pace, 0
+	for k := range r.tasks {
+		if t := &r.tasks[k]; t.out && t.engine == i && t.sentAt >= e.sinceAt {
+			e.since += float64(r.d.Lanes[t.lane].Threads)
+		}
+	}
+	r.stepBound(e, r.signal(e))
+	r.release()
+}
+
+// Distrust: failures add to an engine's score, which halves every halfLife; its bound and its weight in the
+// draw halve with each point, and at shut it gets nothing. The score counts above the least of the fleet's:
+// what strikes all engines alike condemns none.
+const (
+	halfLife    = 1500 * Millisecond // a struck engine is back under shut within some three seconds
+	shut        = 3.0
+	mostDoubted = 8.0
+)
+
+func (r *Router) doubt(e *engine, points float64) {
+	e.distrust = min(mostDoubted, r.score(e)+points)
+	e.distrustAt = r.now
+	if !e.closed && e.distrust-r.leastDistrust() >= shut {
+		e.closed = true
+		r.host.Say(fmt.Sprintf("engine %s distrusted", e.Engine))
+	}
+}
+
+func (r *Router) score(e *engine) float64 {
+	if e.distrust == 0 {
+		return 0
+	}
+	return e.distrust * math.Exp2(-float64(r.now-e.distrustAt)/float64(halfLife))
+}
+
+func (r *Router) leastDistrust() float64 {
+	least := mostDoubted
+	for i := range r.engines {
+		if e := &r.engines[i]; e.State == Live {
+			least = min(least, r.score(e))
+		}
+	}
+	return least
+}
+
+func (r *Router) trust(e *engine, least float64) float64 { return math.Exp2(least - r.score(e)) }
+
+// Due is the timer: probes, steps where no report comes, the chance at a bound of zero, tasks given up.
+func (r *Router) Due(now Time) {
+	r.now = now
+	live := 0
+	for i := range r.engines {
+		if r.engines[i].State == Live {
+			live++
+		}
+	}
+	// A steady pace keeps the price: probes a second over tasks a second, times their price.
+	r.taken -= r.taken * float64(tick) / float64(10*Second)
+	rate := max(0.1, r.taken/10)
+	r.pace = Time(float64(Second) * float64(live) * r.d.ProbePrice / (probeBudget * rate))
+	r.pace = min(max(r.pace, fastestProbe), slowestProbe)
+	for i := range r.engines {
+		e := &r.engines[i]
+		for len(e.ghosts) > 0 && e.ghosts[0].until <= now {
+			e.ghostly -= e.ghosts[0].threads
+			e.ghosts = append(e.ghosts[:0], e.ghosts[1:]...)
+		}
+		if e.State != Live {
+			continue
+		}
+		e.lucky = e.bound < 1 && r.rng.Float64()*float64(r.d.Gateways) < 1
+		if r.d.Probes && !e.probing && now-e.probedAt >= r.pace {
+			e.probing, e.probedAt = true, now
+			r.host.Probe(e.Engine)
+		}
+		if now-max(e.reportAt, e.steppedAt) >= stale/3 && now-e.reportAt >= stale {
+			r.stepBound(e, r.signal(e))
+		}
+		if e.closed && r.score(e)-r.leastDistrust() < shut {
+			e.closed = false
+			r.host.Say(fmt.Sprintf("engine %s trusted again", e.Engine))
+		}
+	}
+	for i := range r.tasks {
+		if t := &r.tasks[i]; t.id != "" && !t.out && now >= r.latest(t) {
+			r.giveUp(int32(i))
+		}
+	}
+	if r.d.Ranked && now-r.late >= 5*tick {
+		r.late = now
+		r.rankLanes()
+		for i := range r.tasks {
+			if t := &r.tasks[i]; t.out && !t.gone && t.rank != 0 && now > t.quoted {
+				t.rank = 0
+				r.host.Terms(t.id, 0, 0)
+			}
+		}
+	}
+	r.release()
+	r.host.Wake(now + tick)
+}
--- /dev/null
+++ b/internal/admission/host.go
@@ -0,0 +1,24 @@
+package admission
+
+// Host is what the decisions act on. It is handed over once, at start; every call takes effect at the
+// time of the event that is being handled.
+type Host interface {
+	// HandOff sends a task to an engine; it ends unanswered after patience, and at the cut-off at the latest.
+	HandOff(task TaskID, engine EngineID, patience Time)
+	// Cancel calls off the n-th hand-off of a task.
+	Cancel(task TaskID, n int)
+	// Nack is a final answer: trying again is harmless, best after comeBack (0: no advice).
+	Nack(task TaskID, comeBack Time)
+	// WriteOff is a final answer that promises nothing.
+	WriteOff(task TaskID)
+	// Terms names memory (MB, 0: the engine chooses) and rank (0 to 3) of a task's hand-offs.
+	Terms(task TaskID, memory float64, rank int)
+	// Probe asks an engine for its report.
+	Probe(engine EngineID)
+	// Subscribe asks for the changes of the engine list from now on.
+	Subscribe()
+	// Wake asks for a call of Due at a time.
+	Wake(at Time)
+	// Say adds a line to the router's log.
+	Say(text string)
+}
--- /dev/null
+++ b/internal/admission/types.go
@@ -0,0 +1,100 @@
+// Package admission decides, for one router, which task runs where and when.
+package admission
+
+// TaskID names a task and EngineID an engine, as the protocol gives them.
+type (
+	TaskID   string
+	EngineID string
+)
+
+// Time is a point on the router's clock or a length of time, in tenths of a millisecond.
+type Time int64
+
+// Lengths of time.
+const (
+	Millisecond Time = 10
+	Second      Time = 1000 * Millisecond
+)
+
+// Outcome tells how a hand-off ended.
+type Outcome uint8
+
+// The outcomes of hand-offs and probes.
+const (
+	Delivered   Outcome = iota
+	Errored             // the engine gave an error; it may have run
+	Full                // turned away unseen
+	TimedOut            // no answer in time; it may still run
+	Unreachable         // no connection
+	Reset               // the connection broke
+	Cancelled           // called off; it may have run
+	Moot                // never sent
+)
+
+// NeverRan tells whether the outcome proves that the engine did not begin the task.
+func (o Outcome) NeverRan() bool { return o == Full || o == Unreachable || o == Moot }
+
+// State is what the engine list says of an engine.
+type State uint8
+
+// The states of a listed engine.
+const (
+	Live State = iota
+	Draining
+	Gone
+)
+
+// Form tells what a delivery of the engine list holds.
+type Form uint8
+
+// The forms of a list.
+const (
+	Changes    Form = iota // the changed entries only
+	Whole                  // all entries
+	Remembered             // all entries as last known; may be old
+	NoAnswer               // nothing: a call failed, the old list stays
+)
+
+// Listing is one entry of the engine list.
+type Listing struct {
+	Engine            EngineID
+	Zone, Kind, Group int
+	State             State
+	Since             Time // last start; 0: long ago
+}
+
+// Report is an engine's load report; a value below 0 is absent.
+type Report struct{ Held, Util, Memory, Disks float64 }
+
+// NoReport has no value at all.
+var NoReport = Report{-1, -1, -1, -1}
+
+// News is a kind of note about a running hand-off.
+type News uint8
+
+// The kinds of notes.
+const (
+	Progress News = iota // value: the share done
+	Spills               // value: MB missing
+	Waits                // value: 1 for memory, 2 for a load
+)
+
+// Effect tells what a second run of a task would do.
+type Effect uint8
+
+// The effects of lanes.
+const (
+	Idempotent Effect = iota
+	Deduplicated
+	Unrepeatable
+)
+
+// Group tells which engines drop repeats of a deduplicated task.
+type Group uint8
+
+// The groups of engines.
+const (
+	AllEngines Group = iota
+	SameZone
+	SameCell
+)
