--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -582,15 +582,15 @@
 	return r.now < r.latest(t) && r.mayRepeat(t) && (r.d.MaxTries == 0 || t.tries < r.d.MaxTries)
 }
 
-// latest is until when holding a task has a useful chance: it must still earn something when it comes back
-// after its lane's usual run. It is always answered before its cut-off.
+// latest is until when holding a task has a useful chance: started then, it is answered within its quoted
+// time if it runs as its lane usually does. Holding it longer would make all behind it late as well. It is
+// always answered before its cut-off.
 func (r *Router) latest(t *task) Time {
-	end := t.cutoff
-	if r.d.Lanes[t.lane].LateShare == 0 {
-		end = t.quoted
+	usual := r.lanes[t.lane].run
+	if t.work > 0 {
+		usual *= float64(t.work) / r.lanes[t.lane].work
 	}
-	usual := min(Time(r.lanes[t.lane].run), (end-t.arrived)/2)
-	return min(end-usual, t.cutoff-2*tick)
+	return min(t.quoted-min(Time(usual), (t.quoted-t.arrived)/2), t.cutoff-2*tick)
 }
 
 // giveUp is the only place that answers a task without an engine, and it does so at once: a nack where a
