--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -66,11 +66,12 @@
 
 // learned is what answers have told of a lane.
 type learned struct {
-	run    float64 // time from hand-off to answer
-	work   float64 // time on one thread
-	memory float64
-	seen   bool
-	rank   int
+	run     float64 // time from hand-off to answer
+	work    float64 // time on one thread
+	memory  float64
+	seen    bool
+	rank    int
+	running float64 // threads
 }
 
 type engine struct {
@@ -200,7 +201,7 @@
 // startBound is an engine's first bound. Above one thread a core lies the level at which an engine does the
 // most work; a cold one gets its share of that.
 func (r *Router) startBound(e *engine) float64 {
-	const startThreads = 1.5
+	const startThreads = 3
 	b := startThreads * e.cores / float64(r.d.Gateways)
 	if r.isCold(e) {
 		b *= r.d.ColdShare
@@ -313,21 +314,50 @@
 			}
 		}
 		tried |= 1 << best
+		queues := r.queues[best*len(r.d.Lanes):]
 		for _, lane := range r.ladder {
-			for i := r.queues[best*len(r.d.Lanes)+lane].first; i != none; i = r.tasks[i].next {
-				t := &r.tasks[i]
-				if e := r.draw(t); e != none && r.handOff(i, e) {
-					return true
-				}
-				if t.tries == 0 && t.key == "" {
-					break // what follows it in this lane has no more choice than this one
-				}
+			if r.starves(lane, queues[lane].first) && r.releaseFrom(queues[lane]) {
+				return true
 			}
 		}
+		for _, lane := range r.ladder {
+			if r.releaseFrom(queues[lane]) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (r *Router) releaseFrom(q queue) bool {
+	for i := q.first; i != none; i = r.tasks[i].next {
+		t := &r.tasks[i]
+		if e := r.draw(t); e != none && r.handOff(i, e) {
+			return true
+		}
+		if t.tries == 0 && t.key == "" {
+			break // what follows it in this lane has no more choice than this one
+		}
 	}
 	return false
 }
 
+// starves tells whether a lane goes before those that earn more: its first held task has used up half the time
+// for which holding it makes sense, and the lane runs on less than fairPart of our threads. It guards cheap
+// short tasks against a standing queue of dear long ones, whatever makes that queue; up to that part it costs
+// the dear lanes threads.
+func (r *Router) starves(lane int, first int32) bool {
+	const fairPart = 0.25 // the order by earnings still rules three quarters of the threads
+	if first == none {
+		return false
+	}
+	t, all := &r.tasks[first], 0.0
+	for _, n := range r.used {
+		all += n
+	}
+	return r.now-t.arrived > (r.latest(t)-t.arrived)/2 && r.lanes[lane].running < fairPart*all
+}
+
 // use is a tenant's threads running over its share.
 func (r *Router) use(n int) float64 {
 	if len(r.d.Tenants) == 0 {
@@ -498,6 +528,7 @@
 	e.since += threads
 	e.lucky = false
 	r.used[t.tenant] += threads
+	learned.running += threads
 	grant := 0.0
 	if r.d.Grants && r.d.Swaps && learned.memory > 0 {
 		// Where an engine swaps, memory granted and not needed costs nothing and too little spills; needs
@@ -538,6 +569,7 @@
 	t.out = false
 	e.running -= threads
 	r.used[t.tenant] -= threads
+	r.lanes[t.lane].running -= threads
 	if t.sentAt >= e.sinceAt {
 		e.since -= threads
 	}
