--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -34,6 +34,7 @@
 	takes   []span  // tasks taken and further hand-offs, for the ration
 	pace    Time    // between probes of an engine
 	taken   float64 // tasks a second, as seen
+	wanted  Time    // when a held task was last given up for want of room
 	late    Time    // when running tasks were last looked over
 }
 
@@ -83,7 +84,8 @@
 	ghosts     []ghost // threads of timed-out hand-offs that the engine may still work on
 	ghostly    float64
 	report     Report
-	reportAt   Time // when it last changed
+	util       float64 // reported, smoothed
+	reportAt   Time    // when it last changed
 	sinceAt    Time
 	since      float64 // threads sent since that are still running
 	steppedAt  Time
@@ -121,7 +123,7 @@
 func New(now Time, seed int64, d *Deployment, host Host) *Router {
 	r := &Router{host: host, d: d, rng: rand.New(rand.NewSource(seed)), now: now, byID: map[TaskID]int32{},
 		turns: map[string]turn{}, named: map[EngineID]int32{}, lanes: make([]learned, len(d.Lanes)),
-		used: make([]float64, max(1, len(d.Tenants))), pace: slowestProbe, late: now}
+		used: make([]float64, max(1, len(d.Tenants))), pace: slowestProbe, late: now, wanted: now - Second}
 	for i := range d.Lanes {
 		l := &d.Lanes[i]
 		r.step += float64(l.Threads) / float64(len(d.Lanes))
@@ -753,17 +755,25 @@
 // utilisation stands in; where it reports nothing, our own held count there does, for all gateways.
 func (r *Router) signal(e *engine) float64 {
 	const high, low = 0.9, 0.45
-	switch fresh := r.now-e.reportAt < stale; {
-	case fresh && e.report.Held >= 0:
+	if r.now-e.reportAt >= stale {
+		return (e.running + e.ghostly) * float64(r.d.Gateways) / e.cores
+	}
+	if e.report.Held >= 0 {
 		return e.report.Held / e.cores * r.step
-	case fresh && e.report.Util > high:
+	}
+	// Cores that idle while our threads stand there are no room: the tasks wait for disks, memory or loads, and
+	// a step up would crowd the engine further. Of healthy tasks well over a third of the time is on a core.
+	const onCores = 0.3
+	switch idle := e.report.Util*e.cores < onCores*(e.running-e.since); {
+	case idle || e.util > high:
 		return threshold
-	case fresh && e.report.Util > low:
-		return threshold * 0.75
-	case fresh && e.report.Util >= 0:
+	case e.util <= low || r.now-r.wanted < Second:
+		// The second case is an exception to the still band: while held tasks are given up for want of room,
+		// room is taken up to the high mark, as the band of utilisation is wide and a bound that was stepped
+		// down in a burst would otherwise stay there. It can harm where utilisation hides a shortage.
 		return 0
 	}
-	return (e.running + e.ghostly) * float64(r.d.Gateways) / e.cores
+	return threshold * 0.75
 }
 
 // stepBound is the step rule of the paper's CPULoad, one query at a time: down at the threshold unless none is
@@ -807,6 +817,10 @@
 	if report == NoReport || report == e.report {
 		return // the report we had: a step on it would count one sight twice
 	}
+	if e.report.Util < 0 {
+		e.util = report.Util
+	}
+	e.util += 0.3 * (report.Util - e.util) // some three reports make the figure: one is noisy
 	e.report, e.reportAt = report, now
 	e.sinceAt, e.since = now-r.pace, 0
 	for k := range r.tasks {
@@ -893,6 +907,7 @@
 	}
 	for i := range r.tasks {
 		if t := &r.tasks[i]; t.id != "" && !t.out && now >= r.latest(t) {
+			r.wanted = now
 			r.giveUp(int32(i))
 		}
 	}
