--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -70,7 +70,7 @@
 	run     float64 // time from hand-off to answer
 	work    float64 // time on one thread
 	memory  float64
-	seen    bool
+	answers float64
 	rank    int
 	running float64 // threads
 }
@@ -689,7 +689,9 @@
 
 // learn takes a delivered task into its lane's usual figures.
 func (r *Router) learn(t *task, work Time, memory float64) {
-	const share = 0.05 // of the newest answer; some twenty answers make the figure, as work is widely spread
+	// The usual run follows the engines' state, some twenty answers back; work and memory are the lane's own
+	// and widely spread, so they are means of a few hundred.
+	const recent, many = 0.05, 300
 	l, run := &r.lanes[t.lane], float64(r.now-t.sentAt)
 	cost := run * float64(r.d.Lanes[t.lane].Threads)
 	if r.d.TellsCost {
@@ -697,13 +699,10 @@
 	} else if t.work > 0 {
 		cost = float64(t.work)
 	}
-	if !l.seen {
-		l.run, l.work, l.memory, l.seen = run, max(cost, l.work/4), memory, true
-		return
-	}
-	l.run += share * (run - l.run)
-	l.work += share * (cost - l.work)
-	l.memory += share * (memory - l.memory)
+	l.answers = min(l.answers+1, many)
+	l.run += max(recent, 1/l.answers) * (run - l.run)
+	l.work += 1 / (l.answers + 1) * (cost - l.work) // what it started from counts as one answer
+	l.memory += 1 / l.answers * (memory - l.memory)
 }
 
 // rankLanes orders lanes by earnings for the work they take.
@@ -761,10 +760,13 @@
 	if e.report.Held >= 0 {
 		return e.report.Held / e.cores * r.step
 	}
-	// Cores that idle while our threads stand there are no room: the tasks wait for disks, memory or loads, and
-	// a step up would crowd the engine further. Of healthy tasks well over a third of the time is on a core.
+	// Cores that idle while our own count is at the threshold are no room: the tasks wait for disks, memory or
+	// loads, and a step up would crowd the engine further. Healthy tasks are on a core well over this part of
+	// their time.
 	const onCores = 0.3
-	switch idle := e.report.Util*e.cores < onCores*(e.running-e.since); {
+	own := e.running - e.since
+	idle := own*float64(r.d.Gateways) >= threshold*e.cores && e.report.Util*e.cores < onCores*own
+	switch {
 	case idle || e.util > high:
 		return threshold
 	case e.util <= low || r.now-r.wanted < Second:
