--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand"
 	"slices"
@@ -95,6 +96,8 @@
 	distrust   float64
 	distrustAt Time
 	closed     bool
+	loads      []int  // tables that our loads hold there
+	hash       uint32 // of its id
 	cold       []sent // hand-offs within the span in which a cold engine can fall over
 }
 
@@ -197,6 +200,9 @@
 		r.engines[i] = engine{}
 	}
 	r.named[l.Engine] = int32(i)
+	h := fnv.New32a()
+	h.Write([]byte(l.Engine))
+	r.engines[i].hash = h.Sum32()
 	return int32(i)
 }
 
@@ -384,7 +390,7 @@
 		// A square sets engines apart clearly while a few per cent of noise in reports matters little;
 		// one that reports itself full keeps a small chance, so that an old report doesn't shut it out.
 		const steep, floor = 2, 0.05
-		w := e.cores * math.Pow(max(floor, 1.1-r.load(e)), steep) * r.trust(e, least)
+		w := e.cores * math.Pow(max(floor, 1.1-r.load(e)), steep) * r.trust(e, least) * r.suits(t, e)
 		if int32(i) == t.engine {
 			w *= floor // a further hand-off rather goes elsewhere
 		}
@@ -396,6 +402,27 @@
 	return pick
 }
 
+// suits weighs an engine by the tables that a task reads. Engines keep what they read last warm, and a load
+// holds its tables on its engine against others. From the ids of engine and tables alone every gateway finds
+// the same third of engines for a group's reads and another third for its loads, without a word between them.
+// It is a weight: a busy engine still loses the draw. Harm: where one group is most of the traffic.
+func (r *Router) suits(t *task, e *engine) float64 {
+	const strong = 4
+	l := &r.d.Lanes[t.lane]
+	if (l.Load || l.HeldByLoads) && slices.Contains(e.loads, t.tables) {
+		return 1.0 / strong / strong // our own load holds them there now
+	}
+	h := (e.hash ^ uint32(t.tables)*2654435761) * 2246822519
+	side := (h ^ h>>15) * 3266489917 >> 16 % 3
+	switch {
+	case side == 0 && !l.Load, side == 1 && l.Load:
+		return strong
+	case side == 1 && l.HeldByLoads, side == 0 && l.Load:
+		return 1.0 / strong
+	}
+	return 1
+}
+
 // load is the share of an engine that is busy as far as we know.
 func (r *Router) load(e *engine) float64 {
 	if e.report.Util >= 0 && r.now-e.reportAt < stale {
@@ -529,6 +556,9 @@
 	e.running += threads
 	e.since += threads
 	e.lucky = false
+	if l.Load {
+		e.loads = append(e.loads, t.tables)
+	}
 	r.used[t.tenant] += threads
 	learned.running += threads
 	grant := 0.0
@@ -569,6 +599,9 @@
 	e, l := &r.engines[t.engine], &r.d.Lanes[t.lane]
 	threads := float64(l.Threads)
 	t.out = false
+	if k := slices.Index(e.loads, t.tables); l.Load && k >= 0 {
+		e.loads = slices.Delete(e.loads, k, k+1)
+	}
 	e.running -= threads
 	r.used[t.tenant] -= threads
 	r.lanes[t.lane].running -= threads
