--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -15,28 +15,29 @@
 
 // Router decides for one gateway from what this gateway alone has seen.
 type Router struct {
-	host    Host
-	d       *Deployment
-	rng     *rand.Rand
-	now     Time
-	tasks   []task // the slab; places are reused
-	free    []int32
-	byID    map[TaskID]int32
-	turns   map[string]turn
-	engines []engine
-	named   map[EngineID]int32
-	queues  []queue   // held tasks, by tenant and lane
-	ladder  []int     // lanes, highest earnings first
-	used    []float64 // threads running, by tenant
-	lanes   []learned
-	held    int
-	seq     uint64
-	step    float64 // threads of one query: the mean declared for our lanes
-	takes   []span  // tasks taken and further hand-offs, for the ration
-	pace    Time    // between probes of an engine
-	taken   float64 // tasks a second, as seen
-	wanted  Time    // when a held task was last given up for want of room
-	late    Time    // when running tasks were last looked over
+	host           Host
+	d              *Deployment
+	rng            *rand.Rand
+	now            Time
+	tasks          []task // the slab; places are reused
+	free           []int32
+	byID           map[TaskID]int32
+	turns          map[string]turn
+	engines        []engine
+	named          map[EngineID]int32
+	queues         []queue   // held tasks, by tenant and lane
+	ladder         []int     // lanes, highest earnings first
+	used           []float64 // threads running, by tenant
+	lanes          []learned
+	held           int
+	seq            uint64
+	step           float64 // threads of one query: the mean declared for our lanes
+	takes          []span  // tasks taken and further hand-offs, for the ration
+	pace           Time    // between probes of an engine
+	taken          float64 // tasks a second, as seen
+	bar, bestPrice float64 // least price of a task taken on, as a part of the best lane's
+	wanted         Time    // when a held task was last given up for want of room
+	late           Time    // when running tasks were last looked over
 }
 
 // task is a task in hand: held, or handed off and without an outcome.
@@ -73,7 +74,6 @@
 	memory  float64
 	answers float64
 	rank    int
-	running float64 // threads
 }
 
 type engine struct {
@@ -259,9 +259,36 @@
 		r.turns[key] = line
 	}
 	r.hold(i)
+	if r.d.Lanes[lane].Earnings/length*r.spread(work) < r.bar*r.bestPrice {
+		r.wanted = now
+		r.giveUp(i)
+		return
+	}
 	r.release()
 }
 
+// spread sets tasks of unknown length apart by chance, so that a rising bar takes a lane's tasks bit by bit.
+func (r *Router) spread(work Time) float64 {
+	if work > 0 {
+		return 1
+	}
+	return math.Exp2(3*r.rng.Float64() - 1.5)
+}
+
+// moveBar sets the least price, in earnings for work, at which tasks are taken on. It rises while some held task
+// has used up half of the time for which holding it makes sense, and falls otherwise. Released by earnings, the
+// cheap short lanes would starve behind a standing queue of dear long ones, and what is held longest would run
+// too late to earn; so under overload the tasks that earn least for their work are given up when they come.
+func (r *Router) moveBar(starving bool) {
+	const rise, fall = 1.03, 0.995    // a tick: twice as high in half a second, half as high in three
+	const lowest, highest = 0.02, 0.9 // of the best lane's price: the bar sheds much, but never all
+	if starving {
+		r.bar = min(highest, r.bar*rise)
+	} else {
+		r.bar = max(lowest, r.bar*fall)
+	}
+}
+
 // hold puts a task into its queue, in the order of arrival.
 func (r *Router) hold(i int32) {
 	t := &r.tasks[i]
@@ -323,11 +350,6 @@
 		}
 		tried |= 1 << best
 		queues := r.queues[best*len(r.d.Lanes):]
-		for _, lane := range r.ladder {
-			if r.starves(lane, queues[lane].first) && r.releaseFrom(queues[lane]) {
-				return true
-			}
-		}
 		for _, lane := range r.ladder {
 			if r.releaseFrom(queues[lane]) {
 				return true
@@ -350,22 +372,6 @@
 	return false
 }
 
-// starves tells whether a lane goes before those that earn more: its first held task has used up half the time
-// for which holding it makes sense, and the lane runs on less than fairPart of our threads. It guards cheap
-// short tasks against a standing queue of dear long ones, whatever makes that queue; up to that part it costs
-// the dear lanes threads.
-func (r *Router) starves(lane int, first int32) bool {
-	const fairPart = 0.25 // the order by earnings still rules three quarters of the threads
-	if first == none {
-		return false
-	}
-	t, all := &r.tasks[first], 0.0
-	for _, n := range r.used {
-		all += n
-	}
-	return r.now-t.arrived > (r.latest(t)-t.arrived)/2 && r.lanes[lane].running < fairPart*all
-}
-
 // use is a tenant's threads running over its share.
 func (r *Router) use(n int) float64 {
 	if len(r.d.Tenants) == 0 {
@@ -560,7 +566,7 @@
 		e.loads = append(e.loads, t.tables)
 	}
 	r.used[t.tenant] += threads
-	learned.running += threads
+
 	grant := 0.0
 	if r.d.Grants && r.d.Swaps && learned.memory > 0 {
 		// Where an engine swaps, memory granted and not needed costs nothing and too little spills; needs
@@ -604,7 +610,7 @@
 	}
 	e.running -= threads
 	r.used[t.tenant] -= threads
-	r.lanes[t.lane].running -= threads
+
 	if t.sentAt >= e.sinceAt {
 		e.since -= threads
 	}
@@ -744,6 +750,7 @@
 	for i := range r.lanes {
 		best = max(best, r.d.Lanes[i].Earnings/r.lanes[i].work)
 	}
+	r.bestPrice = best
 	for i := range r.lanes {
 		// Shares go 1:4:8:16 by rank; 0 stays for what is late.
 		switch v := r.d.Lanes[i].Earnings / r.lanes[i].work; {
@@ -802,10 +809,10 @@
 	switch {
 	case idle || e.util > high:
 		return threshold
-	case e.util <= low || r.now-r.wanted < Second:
-		// The second case is an exception to the still band: while held tasks are given up for want of room,
-		// room is taken up to the high mark, as the band of utilisation is wide and a bound that was stepped
-		// down in a burst would otherwise stay there. It can harm where utilisation hides a shortage.
+	case e.util <= low || r.now-r.wanted < Second && own*float64(r.d.Gateways) < threshold*e.cores:
+		// The second case is an exception to the still band: while held tasks are given up for want of room and
+		// our own count is under the threshold, room is taken up to the high mark. The band of utilisation is
+		// wide, and a bound stepped down in a burst would stay there. Harm: where it hides a shortage.
 		return 0
 	}
 	return threshold * 0.75
@@ -940,12 +947,20 @@
 			r.host.Say(fmt.Sprintf("engine %s trusted again", e.Engine))
 		}
 	}
+	starving := false
 	for i := range r.tasks {
-		if t := &r.tasks[i]; t.id != "" && !t.out && now >= r.latest(t) {
+		t := &r.tasks[i]
+		if t.id == "" || t.out {
+			continue
+		}
+		last := r.latest(t)
+		starving = starving || t.queued && now-t.arrived > (last-t.arrived)/2
+		if now >= last {
 			r.wanted = now
 			r.giveUp(int32(i))
 		}
 	}
+	r.moveBar(starving)
 	if r.d.Ranked && now-r.late >= 5*tick {
 		r.late = now
 		r.rankLanes()
