--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -51,6 +51,7 @@
 	seq                      uint64
 	tries                    int
 	out, gone, mayRan, drawn bool // drawn: its plan was drawn anew once already
+	stalled                  bool // it waited for a load
 	queued                   bool
 	engine                   int32 // of the last hand-off
 	sentAt, doubtAt          Time
@@ -86,6 +87,7 @@
 	ghostly    float64
 	report     Report
 	util       float64 // reported, smoothed
+	stretch    float64 // how often the time of answered tasks doubled over what their work asks for, smoothed
 	reportAt   Time    // when it last changed
 	sinceAt    Time
 	since      float64 // threads sent since that are still running
@@ -209,7 +211,7 @@
 // startBound is an engine's first bound. Above one thread a core lies the level at which an engine does the
 // most work; a cold one gets its share of that.
 func (r *Router) startBound(e *engine) float64 {
-	const startThreads = 3
+	const startThreads = 2
 	b := startThreads * e.cores / float64(r.d.Gateways)
 	if r.isCold(e) {
 		b *= r.d.ColdShare
@@ -738,6 +740,10 @@
 	} else if t.work > 0 {
 		cost = float64(t.work)
 	}
+	if r.d.TellsCost && !t.stalled && cost > 0 {
+		e := &r.engines[t.engine]
+		e.stretch += 0.1 * (min(3, math.Log2(max(1, run*float64(r.d.Lanes[t.lane].Threads)/cost))) - e.stretch)
+	}
 	l.answers = min(l.answers+1, many)
 	l.run += max(recent, 1/l.answers) * (run - l.run)
 	l.work += 1 / (l.answers + 1) * (cost - l.work) // what it started from counts as one answer
@@ -772,6 +778,9 @@
 		return
 	}
 	t := &r.tasks[i]
+	if news == Waits && value == 2 {
+		t.stalled = true
+	}
 	if !t.out || t.gone || t.tries != n+1 || news != Progress || !r.d.Cancels || t.drawn || t.mayRan ||
 		r.d.Lanes[t.lane].Effect != Idempotent || r.d.MaxTries > 0 && t.tries >= r.d.MaxTries {
 		return
@@ -800,15 +809,14 @@
 	if e.report.Held >= 0 {
 		return e.report.Held / e.cores * r.step
 	}
-	// Cores that idle while our own count is at the threshold are no room: the tasks wait for disks, memory or
-	// loads, and a step up would crowd the engine further. Healthy tasks are on a core well over this part of
-	// their time.
-	const onCores = 0.3
+	// Cores that idle while tasks run far longer than their work asks for are no room: the tasks wait for disks,
+	// memory or loads, and a step up would crowd the engine further.
+	const slow, crowded = 0.8, 1.4 // doublings; a healthy engine shows under half of one
 	own := e.running - e.since
-	idle := own*float64(r.d.Gateways) >= threshold*e.cores && e.report.Util*e.cores < onCores*own
 	switch {
-	case idle || e.util > high:
+	case e.util > high || e.stretch > crowded:
 		return threshold
+	case e.stretch > slow:
 	case e.util <= low || r.now-r.wanted < Second && own*float64(r.d.Gateways) < threshold*e.cores:
 		// The second case is an exception to the still band: while held tasks are given up for want of room and
 		// our own count is under the threshold, room is taken up to the high mark. The band of utilisation is
