--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -51,7 +51,6 @@
 	seq                      uint64
 	tries                    int
 	out, gone, mayRan, drawn bool // drawn: its plan was drawn anew once already
-	stalled                  bool // it waited for a load
 	queued                   bool
 	engine                   int32 // of the last hand-off
 	sentAt, doubtAt          Time
@@ -87,7 +86,7 @@
 	ghostly    float64
 	report     Report
 	util       float64 // reported, smoothed
-	stretch    float64 // how often the time of answered tasks doubled over what their work asks for, smoothed
+	overdue    float64 // threads of our hand-offs that run far longer than usual, at the last report
 	reportAt   Time    // when it last changed
 	sinceAt    Time
 	since      float64 // threads sent since that are still running
@@ -740,10 +739,6 @@
 	} else if t.work > 0 {
 		cost = float64(t.work)
 	}
-	if r.d.TellsCost && !t.stalled && cost > 0 {
-		e := &r.engines[t.engine]
-		e.stretch += 0.1 * (min(3, math.Log2(max(1, run*float64(r.d.Lanes[t.lane].Threads)/cost))) - e.stretch)
-	}
 	l.answers = min(l.answers+1, many)
 	l.run += max(recent, 1/l.answers) * (run - l.run)
 	l.work += 1 / (l.answers + 1) * (cost - l.work) // what it started from counts as one answer
@@ -778,9 +773,6 @@
 		return
 	}
 	t := &r.tasks[i]
-	if news == Waits && value == 2 {
-		t.stalled = true
-	}
 	if !t.out || t.gone || t.tries != n+1 || news != Progress || !r.d.Cancels || t.drawn || t.mayRan ||
 		r.d.Lanes[t.lane].Effect != Idempotent || r.d.MaxTries > 0 && t.tries >= r.d.MaxTries {
 		return
@@ -809,14 +801,13 @@
 	if e.report.Held >= 0 {
 		return e.report.Held / e.cores * r.step
 	}
-	// Cores that idle while tasks run far longer than their work asks for are no room: the tasks wait for disks,
-	// memory or loads, and a step up would crowd the engine further.
-	const slow, crowded = 0.8, 1.4 // doublings; a healthy engine shows under half of one
+	// Cores that idle while most of what we have there runs far longer than its lane's work asks for are no room:
+	// tasks wait for disks, memory or loads, and a step up would crowd the engine further.
+	const crowded = 0.5
 	own := e.running - e.since
 	switch {
-	case e.util > high || e.stretch > crowded:
+	case e.util > high || own > 0 && e.overdue >= crowded*own:
 		return threshold
-	case e.stretch > slow:
 	case e.util <= low || r.now-r.wanted < Second && own*float64(r.d.Gateways) < threshold*e.cores:
 		// The second case is an exception to the still band: while held tasks are given up for want of room and
 		// our own count is under the threshold, room is taken up to the high mark. The band of utilisation is
@@ -872,10 +863,18 @@
 	}
 	e.util += 0.3 * (report.Util - e.util) // some three reports make the figure: one is noisy
 	e.report, e.reportAt = report, now
-	e.sinceAt, e.since = now-r.pace, 0
+	e.sinceAt, e.since, e.overdue = now-r.pace, 0, 0
 	for k := range r.tasks {
-		if t := &r.tasks[k]; t.out && t.engine == i && t.sentAt >= e.sinceAt {
-			e.since += float64(r.d.Lanes[t.lane].Threads)
+		t := &r.tasks[k]
+		if !t.out || t.engine != i {
+			continue
+		}
+		const far = 4 // times the usual work: in lanes widely spread, few tasks are that long by themselves
+		threads := float64(r.d.Lanes[t.lane].Threads)
+		if t.sentAt >= e.sinceAt {
+			e.since += threads
+		} else if float64(now-t.sentAt)*threads > far*r.lanes[t.lane].work {
+			e.overdue += threads
 		}
 	}
 	r.stepBound(e, r.signal(e))
