--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -3,11 +3,11 @@
 // All decisions are in this file. The router's protocol side makes one Router at start (New) and then calls
 // one method for each thing that happens: Listed, Arrived, Ended, Noted, ClientGone, Probed, Due. Each acts
 // at once through the Host of host.go; types and ids are in types.go, what is read at start in deployment.go.
-// Calls of one Router come one at a time, with a clock that never goes back. docs/design.md gives the reasons.
+// Calls of one Router come one at a time, with a clock that never goes back. docs/design.md has the reasons.
 
 import (
+	"cmp"
 	"fmt"
-	"hash/fnv"
 	"math"
 	"math/rand"
 	"slices"
@@ -23,11 +23,13 @@
 	free           []int32
 	byID           map[TaskID]int32
 	turns          map[string]turn
+	spare          [][]int32 // lines of keys, to be used again
 	engines        []engine
 	named          map[EngineID]int32
-	queues         []queue   // held tasks, by tenant and lane
+	queues         [][]int32 // held tasks in order of arrival, by tenant and lane
 	ladder         []int     // lanes, highest earnings first
 	used           []float64 // threads running, by tenant
+	tenants        []int     // in the order of release
 	lanes          []learned
 	held           int
 	seq            uint64
@@ -40,86 +42,6 @@
 	late           Time    // when running tasks were last looked over
 }
 
-// task is a task in hand: held, or handed off and without an outcome.
-type task struct {
-	id                       TaskID
-	key                      string
-	lane, tenant, tables     int
-	arrived, cutoff, quoted  Time
-	work                     Time // as estimated; 0: not told
-	memory                   float64
-	seq                      uint64
-	tries                    int
-	out, gone, mayRan, drawn bool // drawn: its plan was drawn anew once already
-	queued                   bool
-	engine                   int32 // of the last hand-off
-	sentAt, doubtAt          Time
-	doubtZone, doubtGroup    int
-	rank                     int
-	prev, next, after        int32 // in its queue; the next of its key
-}
-
-// turn is the line of tasks that share a key: the first may be handed off once the key has rested.
-type turn struct {
-	first, last int32
-	rest        Time
-}
-
-type queue struct{ first, last int32 }
-
-// learned is what answers have told of a lane.
-type learned struct {
-	run     float64 // time from hand-off to answer
-	work    float64 // time on one thread
-	memory  float64
-	answers float64
-	rank    int
-}
-
-type engine struct {
-	Listing
-	listed     bool
-	cores      float64
-	bound      float64 // threads
-	running    float64 // threads of our hand-offs without an outcome
-	ghosts     []ghost // threads of timed-out hand-offs that the engine may still work on
-	ghostly    float64
-	report     Report
-	util       float64 // reported, smoothed
-	overdue    float64 // threads of our hand-offs that run far longer than usual, at the last report
-	reportAt   Time    // when it last changed
-	sinceAt    Time
-	since      float64 // threads sent since that are still running
-	steppedAt  Time
-	probedAt   Time
-	probing    bool
-	lucky      bool // may get the one query that a bound of zero allows
-	distrust   float64
-	distrustAt Time
-	closed     bool
-	loads      []int  // tables that our loads hold there
-	hash       uint32 // of its id
-	cold       []sent // hand-offs within the span in which a cold engine can fall over
-}
-
-type ghost struct {
-	until   Time
-	threads float64
-}
-
-type sent struct {
-	at   Time
-	work float64
-}
-
-// span counts what happened in one part of the ration's window.
-type span struct {
-	index        Time
-	taken, extra float64
-}
-
-const none = int32(-1)
-
 // tick is the timer's pace: a held task is given up at most this late, well within the answer's slack.
 const tick = 20 * Millisecond
 
@@ -136,11 +58,12 @@
 		r.lanes[i] = learned{run: float64(l.Quoted), work: float64(l.Quoted) * float64(l.Threads), rank: 1}
 	}
 	slices.SortStableFunc(r.ladder, func(a, b int) int {
-		return int(math.Copysign(1, d.Lanes[b].Earnings-d.Lanes[a].Earnings))
+		return cmp.Compare(d.Lanes[b].Earnings, d.Lanes[a].Earnings)
 	})
-	for range len(r.used) * len(d.Lanes) {
-		r.queues = append(r.queues, queue{none, none})
+	for n := range r.used {
+		r.tenants = append(r.tenants, n)
 	}
+	r.queues = make([][]int32, len(r.used)*len(d.Lanes))
 	if d.ExtraSpan > 0 {
 		r.takes = make([]span, spans+1)
 	}
@@ -190,23 +113,6 @@
 	r.release()
 }
 
-// place finds room for a new engine; that of one which is gone and owes nothing is used again.
-func (r *Router) place(l Listing) int32 {
-	i := slices.IndexFunc(r.engines, func(e engine) bool { return e.State == Gone && e.running == 0 && !e.probing })
-	if i < 0 {
-		i = len(r.engines)
-		r.engines = append(r.engines, engine{})
-	} else {
-		delete(r.named, r.engines[i].Engine)
-		r.engines[i] = engine{}
-	}
-	r.named[l.Engine] = int32(i)
-	h := fnv.New32a()
-	h.Write([]byte(l.Engine))
-	r.engines[i].hash = h.Sum32()
-	return int32(i)
-}
-
 // startBound is an engine's first bound. Above one thread a core lies the level at which an engine does the
 // most work; a cold one gets its share of that.
 func (r *Router) startBound(e *engine) float64 {
@@ -220,25 +126,17 @@
 
 // Arrived takes a task from a client. From here on it is owed one final answer.
 func (r *Router) Arrived(now Time, id TaskID, cutoff Time, lane, tenant int, key string, tables int,
-	work Time, memory float64) {
+	work Time) {
 	r.now = now
 	if tenant < 0 || tenant >= len(r.used) {
 		tenant = 0
 	}
-	i := none
-	if n := len(r.free); n > 0 {
-		i, r.free = r.free[n-1], r.free[:n-1]
-	} else {
-		i = int32(len(r.tasks))
-		r.tasks = append(r.tasks, task{})
-	}
 	l := &r.d.Lanes[lane]
 	r.seq++
 	r.taken++
+	i := r.seat(task{id: id, lane: lane, tenant: tenant, tables: tables, arrived: now, cutoff: cutoff,
+		work: work, seq: r.seq, engine: none, rank: 1})
 	t := &r.tasks[i]
-	*t = task{id: id, lane: lane, tenant: tenant, tables: tables, arrived: now, cutoff: cutoff, work: work,
-		memory: memory, seq: r.seq, engine: none, rank: 1, prev: none, next: none, after: none}
-	r.byID[id] = i
 	length := float64(work)
 	if work == 0 {
 		length = r.lanes[lane].work
@@ -249,15 +147,9 @@
 	}
 	if l.InOrder && key != "" {
 		t.key = key
-		line, ok := r.turns[key]
-		if ok && line.first != none {
-			r.tasks[line.last].after = i
-			line.last = i
-			r.turns[key] = line
+		if !r.joinTurn(i) {
 			return // held behind its key, in no queue yet
 		}
-		line.first, line.last = i, i
-		r.turns[key] = line
 	}
 	r.hold(i)
 	if r.d.Lanes[lane].Earnings/length*r.spread(work) < r.bar*r.bestPrice {
@@ -276,10 +168,11 @@
 	return math.Exp2(3*r.rng.Float64() - 1.5)
 }
 
-// moveBar sets the least price, in earnings for work, at which tasks are taken on. It rises while some held task
-// has used up half of the time for which holding it makes sense, and falls otherwise. Released by earnings, the
-// cheap short lanes would starve behind a standing queue of dear long ones, and what is held longest would run
-// too late to earn; so under overload the tasks that earn least for their work are given up when they come.
+// moveBar sets the least price, in earnings for work, at which tasks are taken on. It rises while some held
+// task has used up half of the time for which holding it makes sense, and falls otherwise. In an order by
+// earnings, short cheap lanes would starve behind a standing queue of long dear ones, and what is held longest
+// would run too late to earn; so under overload what earns least for its work is given up when it comes.
+// Harm: where a lane's estimates are far too high, it is shed before others.
 func (r *Router) moveBar(starving bool) {
 	const rise, fall = 1.03, 0.995    // a tick: twice as high in half a second, half as high in three
 	const lowest, highest = 0.02, 0.9 // of the best lane's price: the bar sheds much, but never all
@@ -290,49 +183,6 @@
 	}
 }
 
-// hold puts a task into its queue, in the order of arrival.
-func (r *Router) hold(i int32) {
-	t := &r.tasks[i]
-	q := &r.queues[t.tenant*len(r.d.Lanes)+t.lane]
-	before := q.last
-	for before != none && r.tasks[before].seq > t.seq {
-		before = r.tasks[before].prev
-	}
-	t.prev, t.queued = before, true
-	if before == none {
-		t.next, q.first = q.first, i
-	} else {
-		t.next, r.tasks[before].next = r.tasks[before].next, i
-	}
-	if t.next == none {
-		q.last = i
-	} else {
-		r.tasks[t.next].prev = i
-	}
-	r.held++
-}
-
-// unhold takes a task out of its queue.
-func (r *Router) unhold(i int32) {
-	t := &r.tasks[i]
-	if !t.queued {
-		return
-	}
-	q := &r.queues[t.tenant*len(r.d.Lanes)+t.lane]
-	if t.prev == none {
-		q.first = t.next
-	} else {
-		r.tasks[t.prev].next = t.next
-	}
-	if t.next == none {
-		q.last = t.prev
-	} else {
-		r.tasks[t.next].prev = t.prev
-	}
-	t.prev, t.next, t.queued = none, none, false
-	r.held--
-}
-
 // release hands off held tasks while engines have room: by tenant fairness (the fewest threads in use for its
 // share first), then earnings, then arrival.
 func (r *Router) release() {
@@ -341,18 +191,12 @@
 }
 
 func (r *Router) releaseOne() bool {
-	tried := uint64(0)
-	for range r.used {
-		best := -1
-		for n := range r.used {
-			if tried&(1<<n) == 0 && (best < 0 || r.use(n) < r.use(best)) {
-				best = n
-			}
-		}
-		tried |= 1 << best
-		queues := r.queues[best*len(r.d.Lanes):]
+	if len(r.tenants) > 1 {
+		slices.SortStableFunc(r.tenants, func(a, b int) int { return cmp.Compare(r.use(a), r.use(b)) })
+	}
+	for _, tenant := range r.tenants {
 		for _, lane := range r.ladder {
-			if r.releaseFrom(queues[lane]) {
+			if r.releaseFrom(r.queues[tenant*len(r.d.Lanes)+lane]) {
 				return true
 			}
 		}
@@ -360,8 +204,8 @@
 	return false
 }
 
-func (r *Router) releaseFrom(q queue) bool {
-	for i := q.first; i != none; i = r.tasks[i].next {
+func (r *Router) releaseFrom(q []int32) bool {
+	for _, i := range q {
 		t := &r.tasks[i]
 		if e := r.draw(t); e != none && r.handOff(i, e) {
 			return true
@@ -374,12 +218,7 @@
 }
 
 // use is a tenant's threads running over its share.
-func (r *Router) use(n int) float64 {
-	if len(r.d.Tenants) == 0 {
-		return 0
-	}
-	return r.used[n] / max(0.001, r.d.Tenants[n].Share)
-}
+func (r *Router) use(n int) float64 { return r.used[n] / max(0.001, r.d.Tenants[n].Share) }
 
 // draw picks an engine at random, weighted down by the utilisation it reported, or by our own busy share of
 // its bound, plus what we sent since.
@@ -435,7 +274,7 @@
 	if e.report.Util >= 0 && r.now-e.reportAt < stale {
 		return e.report.Util + e.since/e.cores
 	}
-	return (e.running + e.ghostly) / max(1, e.bound)
+	return (e.running + e.ghosts) / max(1, e.bound)
 }
 
 // open tells whether an engine has room under its bound. Distrust narrows it, down to nothing.
@@ -446,7 +285,7 @@
 	if e.bound < 1 {
 		return e.running == 0 && e.lucky
 	}
-	return e.running+e.ghostly < e.bound*r.trust(e, least)
+	return e.running+e.ghosts < e.bound*r.trust(e, least)
 }
 
 // mayTry is the part of the rules that doesn't depend on the engine: one hand-off at a time, none after the
@@ -456,7 +295,7 @@
 		return false
 	}
 	if t.key != "" {
-		if line := r.turns[t.key]; r.tasks[line.first].id != t.id || r.now < line.rest && t.tries == 0 {
+		if turn := r.turns[t.key]; r.tasks[turn.line[0]].id != t.id || r.now < turn.rest && t.tries == 0 {
 			return false
 		}
 	}
@@ -508,19 +347,6 @@
 // The ration's window is counted in this many spans; one more is kept, so that whole spans cover the window.
 const spans = 50
 
-// span is the count for the present part of the ration's window; nil where there is no ration.
-func (r *Router) span() *span {
-	if r.takes == nil {
-		return nil
-	}
-	index := r.now / (r.d.ExtraSpan/spans + 1)
-	s := &r.takes[index%(spans+1)]
-	if s.index != index {
-		*s = span{index: index}
-	}
-	return s
-}
-
 // rationed tells whether one more further hand-off is within the ration: all further ones that may fall into
 // the window count, and only the tasks that surely do.
 func (r *Router) rationed() bool {
@@ -626,9 +452,7 @@
 		r.stepBound(e, threshold)
 	case TimedOut:
 		if !r.d.Cancels {
-			// An engine that doesn't stop at a time-out works on; its threads count for a usual run more.
-			e.ghosts = append(e.ghosts, ghost{now + Time(r.lanes[t.lane].run), threads})
-			e.ghostly += threads
+			e.ghosts += threads // an engine that doesn't stop at a time-out works on
 		}
 	}
 	if how != Delivered && !how.NeverRan() {
@@ -636,9 +460,9 @@
 			t.mayRan, t.doubtAt, t.doubtZone, t.doubtGroup = true, t.sentAt, e.Zone, e.Group
 		}
 		if t.key != "" && r.d.Settle > 0 {
-			line := r.turns[t.key]
-			line.rest = now + r.d.Settle
-			r.turns[t.key] = line
+			turn := r.turns[t.key]
+			turn.rest = now + r.d.Settle
+			r.turns[t.key] = turn
 		}
 	}
 	if over || t.gone {
@@ -682,38 +506,6 @@
 	r.drop(i)
 }
 
-// drop forgets a task that is over and has no hand-off out, and lets the next of its key have its turn.
-func (r *Router) drop(i int32) {
-	t := &r.tasks[i]
-	r.unhold(i)
-	delete(r.byID, t.id)
-	if t.key != "" {
-		line := r.turns[t.key]
-		if line.first == i {
-			line.first = t.after
-			if t.after != none {
-				r.hold(t.after)
-			}
-		} else {
-			p := line.first
-			for r.tasks[p].after != i {
-				p = r.tasks[p].after
-			}
-			r.tasks[p].after = t.after
-			if line.last == i {
-				line.last = p
-			}
-		}
-		if line.first == none && line.rest <= r.now {
-			delete(r.turns, t.key)
-		} else {
-			r.turns[t.key] = line
-		}
-	}
-	*t = task{}
-	r.free = append(r.free, i)
-}
-
 // ClientGone ends a task whose client left. A hand-off that is out still gets its outcome.
 func (r *Router) ClientGone(now Time, id TaskID) {
 	r.now = now
@@ -773,16 +565,16 @@
 		return
 	}
 	t := &r.tasks[i]
-	if !t.out || t.gone || t.tries != n+1 || news != Progress || !r.d.Cancels || t.drawn || t.mayRan ||
-		r.d.Lanes[t.lane].Effect != Idempotent || r.d.MaxTries > 0 && t.tries >= r.d.MaxTries {
+	if !t.out || t.gone || t.tries != n+1 || !r.d.Cancels || t.drawn || r.d.Lanes[t.lane].Effect != Idempotent ||
+		r.d.MaxTries > 0 && t.tries >= r.d.MaxTries {
 		return
 	}
-	// A bad plan is drawn anew at each hand-off. One that will take this many usual runs more is called off,
-	// once: a task that is slow again is long by itself. Harm: work done for nothing where it was long.
+	// A bad plan is drawn anew at each hand-off, and a load stands on one engine only. A hand-off that will take
+	// this many usual runs more, or waits for a load, is called off, once a task: what is slow again is long by
+	// itself. Harm: work done for nothing where it was long.
 	const badPlan = 4
-	spent := float64(now - t.sentAt)
-	left := spent * (1 - value) / max(value, 0.001)
-	if left > badPlan*r.lanes[t.lane].run && t.cutoff-now > Time(r.lanes[t.lane].run) {
+	run, left := r.lanes[t.lane].run, float64(now-t.sentAt)*(1-value)/max(value, 0.001)
+	if (news == Progress && left > badPlan*run || news == Waits && value == 2) && t.cutoff-now > Time(run) {
 		t.drawn = true
 		r.host.Cancel(id, n)
 	}
@@ -796,13 +588,13 @@
 func (r *Router) signal(e *engine) float64 {
 	const high, low = 0.9, 0.45
 	if r.now-e.reportAt >= stale {
-		return (e.running + e.ghostly) * float64(r.d.Gateways) / e.cores
+		return (e.running + e.ghosts) * float64(r.d.Gateways) / e.cores
 	}
 	if e.report.Held >= 0 {
 		return e.report.Held / e.cores * r.step
 	}
-	// Cores that idle while most of what we have there runs far longer than its lane's work asks for are no room:
-	// tasks wait for disks, memory or loads, and a step up would crowd the engine further.
+	// Cores that idle while most of what we have there runs far longer than its lane's work asks for are no
+	// room: tasks wait for disks, memory or loads, and a step up would crowd the engine further.
 	const crowded = 0.5
 	own := e.running - e.since
 	switch {
@@ -817,8 +609,8 @@
 	return threshold * 0.75
 }
 
-// stepBound is the step rule of the paper's CPULoad, one query at a time: down at the threshold unless none is
-// in use, up at half of it or less with every slot in use, and still between. The floor is zero.
+// stepBound is the step rule of the paper's CPULoad, one query at a time: down at the threshold unless none
+// is in use, up at half of it or less with every slot in use, and still between. The floor is zero.
 func (r *Router) stepBound(e *engine, signal float64) {
 	if signal >= threshold {
 		if e.running > 0 {
@@ -934,10 +726,7 @@
 	r.pace = min(max(r.pace, fastestProbe), slowestProbe)
 	for i := range r.engines {
 		e := &r.engines[i]
-		for len(e.ghosts) > 0 && e.ghosts[0].until <= now {
-			e.ghostly -= e.ghosts[0].threads
-			e.ghosts = append(e.ghosts[:0], e.ghosts[1:]...)
-		}
+		e.ghosts -= e.ghosts * float64(tick) / float64(2*Second) // about a long task's usual run
 		if e.State != Live {
 			continue
 		}
--- /dev/null
+++ b/internal/admission/state.go
@@ -0,0 +1,179 @@
+package admission
+
+import (
+	"hash/fnv"
+	"slices"
+)
+
+// task is a task in hand: held, or handed off and without an outcome.
+type task struct {
+	id                       TaskID
+	key                      string
+	lane, tenant, tables     int
+	arrived, cutoff, quoted  Time
+	work                     Time // as estimated; 0: not told
+	seq                      uint64
+	tries                    int
+	out, gone, mayRan, drawn bool // drawn: its plan was drawn anew once already
+	queued                   bool
+	engine                   int32 // of the last hand-off
+	sentAt, doubtAt          Time
+	doubtZone, doubtGroup    int
+	rank                     int
+}
+
+// turn is the line of tasks that share a key: the first may be handed off once the key has rested.
+type turn struct {
+	line []int32
+	rest Time
+}
+
+// learned is what answers have told of a lane.
+type learned struct {
+	run     float64 // time from hand-off to answer
+	work    float64 // time on one thread
+	memory  float64
+	answers float64
+	rank    int
+}
+
+type engine struct {
+	Listing
+	listed     bool
+	cores      float64
+	bound      float64 // threads
+	running    float64 // threads of our hand-offs without an outcome
+	ghosts     float64 // threads of timed-out hand-offs that the engine may still work on, fading
+	report     Report
+	util       float64 // reported, smoothed
+	overdue    float64 // threads of our hand-offs that run far longer than usual, at the last report
+	reportAt   Time    // when it last changed
+	sinceAt    Time
+	since      float64 // threads sent since that are still running
+	steppedAt  Time
+	probedAt   Time
+	probing    bool
+	lucky      bool // may get the one query that a bound of zero allows
+	distrust   float64
+	distrustAt Time
+	closed     bool
+	loads      []int  // tables that our loads hold there
+	hash       uint32 // of its id
+	cold       []sent // hand-offs within the span in which a cold engine can fall over
+}
+
+type sent struct {
+	at   Time
+	work float64
+}
+
+// span counts what happened in one part of the ration's window.
+type span struct {
+	index        Time
+	taken, extra float64
+}
+
+const none = int32(-1) // no engine
+
+// seat gives a task a place in the slab.
+func (r *Router) seat(t task) int32 {
+	i := int32(len(r.tasks))
+	if n := len(r.free); n > 0 {
+		i, r.free = r.free[n-1], r.free[:n-1]
+	} else {
+		r.tasks = append(r.tasks, task{})
+	}
+	r.tasks[i] = t
+	r.byID[t.id] = i
+	return i
+}
+
+// joinTurn puts a task at the end of its key's line and tells whether it is the first there.
+func (r *Router) joinTurn(i int32) bool {
+	turn := r.turns[r.tasks[i].key]
+	if n := len(r.spare); turn.line == nil && n > 0 {
+		turn.line, r.spare = r.spare[n-1], r.spare[:n-1]
+	}
+	turn.line = append(turn.line, i)
+	r.turns[r.tasks[i].key] = turn
+	return len(turn.line) == 1
+}
+
+// drop forgets a task that is over and has no hand-off out, and lets the next of its key have its turn.
+func (r *Router) drop(i int32) {
+	t := &r.tasks[i]
+	r.unhold(i)
+	delete(r.byID, t.id)
+	if t.key != "" {
+		turn := r.turns[t.key]
+		k := slices.Index(turn.line, i)
+		turn.line = slices.Delete(turn.line, k, k+1)
+		r.turns[t.key] = turn
+		if len(turn.line) == 0 && turn.rest <= r.now {
+			r.spare = append(r.spare, turn.line)
+			delete(r.turns, t.key)
+		} else if k == 0 && len(turn.line) > 0 {
+			r.hold(turn.line[0])
+		}
+	}
+	*t = task{}
+	r.free = append(r.free, i)
+}
+
+// queue is where a task is held.
+func (r *Router) queue(t *task) *[]int32 { return &r.queues[t.tenant*len(r.d.Lanes)+t.lane] }
+
+// hold puts a task into its queue, in the order of arrival.
+func (r *Router) hold(i int32) {
+	q := r.queue(&r.tasks[i])
+	k := len(*q)
+	for k > 0 && r.tasks[(*q)[k-1]].seq > r.tasks[i].seq {
+		k--
+	}
+	*q = slices.Insert(*q, k, i)
+	r.tasks[i].queued = true
+	r.held++
+}
+
+// unhold takes a task out of its queue.
+func (r *Router) unhold(i int32) {
+	if t := &r.tasks[i]; t.queued {
+		q := r.queue(t)
+		k := slices.Index(*q, i)
+		*q = slices.Delete(*q, k, k+1)
+		t.queued = false
+		r.held--
+	}
+}
+
+// place finds room for a new engine; that of one which is gone and owes nothing is used again.
+func (r *Router) place(l Listing) int32 {
+	i := slices.IndexFunc(r.engines, func(e engine) bool {
+		return e.State == Gone && e.running == 0 && !e.probing
+	})
+	if i < 0 {
+		i = len(r.engines)
+		r.engines = append(r.engines, engine{})
+	} else {
+		delete(r.named, r.engines[i].Engine)
+		r.engines[i] = engine{}
+	}
+	r.named[l.Engine] = int32(i)
+	h := fnv.New32a()
+	h.Write([]byte(l.Engine))
+	r.engines[i].hash = h.Sum32()
+	return int32(i)
+}
+
+// span is the count for the present part of the ration's window; nil where there is no ration.
+func (r *Router) span() *span {
+	if r.takes == nil {
+		return nil
+	}
+	index := r.now / (r.d.ExtraSpan/spans + 1)
+	s := &r.takes[index%(spans+1)]
+	if s.index != index {
+		*s = span{index: index}
+	}
+	return s
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -285,14 +285,15 @@
 		id, cutoff, tables := admission.TaskID(w.id("handle")), w.micros("validUntilUs"), int(w.real("tables"))
 		work, lane, tenant := w.micros("estimateUs"), int(w.num("profile")), int(w.num("realm"))
 		key := strings.Clone(w.opt("object"))
-		options, memory := w.num("options"), w.real("footprintMb")
+		options := w.num("options")
+		w.real("footprintMb")
 		if i != nil && (lane < 0 || lane >= i.lanes) {
 			w.fail("profile", "a class of the settings")
 		}
 		if options&1 == 0 {
 			work = 0
 		}
-		call = func(r *admission.Router) { r.Arrived(now, id, cutoff, lane, tenant, key, tables, work, memory) }
+		call = func(r *admission.Router) { r.Arrived(now, id, cutoff, lane, tenant, key, tables, work) }
 	case "accepted":
 		// A stream that broke comes back finished, so its start asks for no decision.
 		w.text("handle")
