--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -404,7 +404,13 @@
 	if grant > 0 || r.d.Ranked && t.rank != 1 {
 		r.host.Terms(t.id, grant, t.rank)
 	}
-	r.host.HandOff(t.id, e.Engine, t.cutoff-r.now)
+	patience := t.cutoff - r.now
+	if r.d.Cancels {
+		// Past the quoted time a task is let run for the part of its time that matches what it still earns;
+		// an engine that stops work at a time-out is freed for others. Guards against jams that feed themselves.
+		patience = min(patience, max(t.quoted-r.now, 1)+Time(l.LateShare*float64(t.cutoff-t.quoted)))
+	}
+	r.host.HandOff(t.id, e.Engine, patience)
 	return true
 }
 
@@ -565,16 +571,16 @@
 		return
 	}
 	t := &r.tasks[i]
-	if !t.out || t.gone || t.tries != n+1 || !r.d.Cancels || t.drawn || r.d.Lanes[t.lane].Effect != Idempotent ||
+	if news != Progress || !t.out || t.gone || t.tries != n+1 || !r.d.Cancels || t.drawn ||
+		r.d.Lanes[t.lane].Effect != Idempotent ||
 		r.d.MaxTries > 0 && t.tries >= r.d.MaxTries {
 		return
 	}
-	// A bad plan is drawn anew at each hand-off, and a load stands on one engine only. A hand-off that will take
-	// this many usual runs more, or waits for a load, is called off, once a task: what is slow again is long by
-	// itself. Harm: work done for nothing where it was long.
+	// A bad plan is drawn anew at each hand-off. One that will take this many usual runs more is called off, once
+	// a task: what is slow again is long by itself. Harm: work done for nothing where it was long.
 	const badPlan = 4
 	run, left := r.lanes[t.lane].run, float64(now-t.sentAt)*(1-value)/max(value, 0.001)
-	if (news == Progress && left > badPlan*run || news == Waits && value == 2) && t.cutoff-now > Time(run) {
+	if left > badPlan*run && t.cutoff-now > Time(run) {
 		t.drawn = true
 		r.host.Cancel(id, n)
 	}
@@ -610,14 +616,16 @@
 }
 
 // stepBound is the step rule of the paper's CPULoad, one query at a time: down at the threshold unless none
-// is in use, up at half of it or less with every slot in use, and still between. The floor is zero.
+// is in use, up at half of it or less with every slot in use, and still between. The floor is zero. An engine
+// hears all gateways at once: each takes a step up only with the chance that the design gives it at zero, so
+// that together they add about one query a report. Harm: a lone busy gateway climbs more slowly.
 func (r *Router) stepBound(e *engine, signal float64) {
 	if signal >= threshold {
 		if e.running > 0 {
 			e.bound = max(0, e.bound-r.step)
 		}
 	} else if signal <= threshold/2.0 {
-		if e.running >= e.bound {
+		if e.running >= e.bound && r.rng.Float64()*float64(r.d.Gateways) < 1 {
 			e.bound += r.step
 		}
 	}
