--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -170,11 +170,11 @@
 
 // moveBar sets the least price, in earnings for work, at which tasks are taken on. It rises while some held
 // task has used up half of the time for which holding it makes sense, and falls otherwise. In an order by
-// earnings, short cheap lanes would starve behind a standing queue of long dear ones, and what is held longest
-// would run too late to earn; so under overload what earns least for its work is given up when it comes.
+// earnings, short cheap lanes would starve behind a standing queue of long dear ones, and what is held
+// longest would run too late to earn; so under overload what earns least for its work is given up at once.
 // Harm: where a lane's estimates are far too high, it is shed before others.
 func (r *Router) moveBar(starving bool) {
-	const rise, fall = 1.03, 0.995    // a tick: twice as high in half a second, half as high in three
+	const rise, fall = 1.06, 0.97     // a tick: twice as high in a quarter of a second, half as high in half of one
 	const lowest, highest = 0.02, 0.9 // of the best lane's price: the bar sheds much, but never all
 	if starving {
 		r.bar = min(highest, r.bar*rise)
@@ -576,8 +576,8 @@
 		r.d.MaxTries > 0 && t.tries >= r.d.MaxTries {
 		return
 	}
-	// A bad plan is drawn anew at each hand-off. One that will take this many usual runs more is called off, once
-	// a task: what is slow again is long by itself. Harm: work done for nothing where it was long.
+	// A bad plan is drawn anew at each hand-off. One that will take this many usual runs more is called off,
+	// once a task: what is slow again is long by itself. Harm: work done for nothing where it was long.
 	const badPlan = 4
 	run, left := r.lanes[t.lane].run, float64(now-t.sentAt)*(1-value)/max(value, 0.001)
 	if left > badPlan*run && t.cutoff-now > Time(run) {
