--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -140,6 +140,8 @@
 	length := float64(work)
 	if work == 0 {
 		length = r.lanes[lane].work
+	} else {
+		r.learnWork(&r.lanes[lane], length)
 	}
 	t.quoted = min(cutoff, now+l.Quoted+Time(l.Stretch*length/float64(l.Threads)))
 	if s := r.span(); s != nil {
@@ -174,7 +176,7 @@
 // longest would run too late to earn; so under overload what earns least for its work is given up at once.
 // Harm: where a lane's estimates are far too high, it is shed before others.
 func (r *Router) moveBar(starving bool) {
-	const rise, fall = 1.06, 0.97     // a tick: twice as high in a quarter of a second, half as high in half of one
+	const rise, fall = 1.06, 0.97     // a tick: doubled in a quarter of a second, halved in twice that
 	const lowest, highest = 0.02, 0.9 // of the best lane's price: the bar sheds much, but never all
 	if starving {
 		r.bar = min(highest, r.bar*rise)
@@ -525,22 +527,37 @@
 	}
 }
 
+// The usual run follows the engines' state, some twenty answers back; work and memory are the lane's own and
+// widely spread, so they are means of a few hundred.
+const recent, many = 0.05, 300
+
 // learn takes a delivered task into its lane's usual figures.
 func (r *Router) learn(t *task, work Time, memory float64) {
-	// The usual run follows the engines' state, some twenty answers back; work and memory are the lane's own
-	// and widely spread, so they are means of a few hundred.
-	const recent, many = 0.05, 300
 	l, run := &r.lanes[t.lane], float64(r.now-t.sentAt)
-	cost := run * float64(r.d.Lanes[t.lane].Threads)
-	if r.d.TellsCost {
-		cost = float64(work)
-	} else if t.work > 0 {
-		cost = float64(t.work)
-	}
+	threads := float64(r.d.Lanes[t.lane].Threads)
 	l.answers = min(l.answers+1, many)
 	l.run += max(recent, 1/l.answers) * (run - l.run)
-	l.work += 1 / (l.answers + 1) * (cost - l.work) // what it started from counts as one answer
 	l.memory += 1 / l.answers * (memory - l.memory)
+	cost := float64(t.work)
+	if t.work == 0 {
+		if cost = float64(work); !r.d.TellsCost {
+			cost = run * threads
+		}
+		r.learnWork(l, cost)
+	}
+	// How many times its work a task takes where nothing is crowded: it falls with the answers and hardly rises.
+	if ratio := run * threads / max(1, cost); l.ease == 0 || ratio < l.ease {
+		l.ease += max(recent, 1/l.answers) * (ratio - l.ease)
+	} else {
+		l.ease += recent / many * (min(ratio, 3*l.ease) - l.ease)
+	}
+}
+
+// learnWork takes a task's work into its lane's mean: estimates when tasks come, since what is answered under
+// a bar is no fair sample, else what answers tell.
+func (r *Router) learnWork(l *learned, work float64) {
+	l.tasks = min(l.tasks+1, many)
+	l.work += 1 / (l.tasks + 1) * (work - l.work) // what it started from counts as one
 }
 
 // rankLanes orders lanes by earnings for the work they take.
@@ -669,11 +686,12 @@
 		if !t.out || t.engine != i {
 			continue
 		}
-		const far = 4 // times the usual work: in lanes widely spread, few tasks are that long by themselves
+		const far = 4 // times the usual: in lanes widely spread, few tasks are that long by themselves
+		l := &r.lanes[t.lane]
 		threads := float64(r.d.Lanes[t.lane].Threads)
 		if t.sentAt >= e.sinceAt {
 			e.since += threads
-		} else if float64(now-t.sentAt)*threads > far*r.lanes[t.lane].work {
+		} else if float64(now-t.sentAt)*threads > far*l.work*max(1, l.ease) {
 			e.overdue += threads
 		}
 	}
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -33,7 +33,9 @@
 	run     float64 // time from hand-off to answer
 	work    float64 // time on one thread
 	memory  float64
-	answers float64
+	answers float64 // that the figures rest on, capped
+	tasks   float64 // that the work rests on, capped
+	ease    float64 // times its work that a task takes where nothing is crowded
 	rank    int
 }
 
