--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -154,7 +154,7 @@
 		}
 	}
 	r.hold(i)
-	if r.d.Lanes[lane].Earnings/length*r.spread(work) < r.bar*r.bestPrice {
+	if p := l.Earnings / length; p < 0.99*r.bestPrice && p*r.spread(work) < r.bar*r.bestPrice {
 		r.wanted = now
 		r.giveUp(i)
 		return
