--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,359 @@
+package admission
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+)
+
+var keep = flag.Bool("keep", false, "keep the traces as they come out now")
+
+// Each script's trace is kept in testdata/NAME.txt.
+var scripts = map[string]func() *script{
+	"ordinary": func() *script { // one hand-off each while there is room, then by earnings, then arrival
+		s := start(deployment(), "e1")
+		s.engines[0].bound = 2
+		s.task("a", 0, 0, "")
+		s.task("b", 0, 0, "")
+		s.task("cheap1", 0, 0, "")
+		s.task("cheap2", 0, 0, "")
+		s.task("dear", 1, 0, "")
+		for i, id := range []TaskID{"a", "b", "dear", "cheap1", "cheap2"} {
+			s.pass(Time(i+1) * 20 * Millisecond)
+			s.end(id, Delivered)
+		}
+		return s
+	},
+	"tenants": func() *script { // the tenant with the fewest threads for its share goes first
+		d := deployment()
+		d.Tenants = []Tenant{{Share: 0.75}, {Share: 0.25}}
+		s := start(d, "e1")
+		s.engines[0].bound = 1
+		for i, id := range []TaskID{"first0", "x0", "y0", "x1"} {
+			s.Arrived(s.at, id, 10*Second, 0, i/3, "", 0, 0)
+		}
+		s.used[0] = 2
+		s.end("first0", Delivered)
+		return s
+	},
+	"steps": func() *script { // the paper's rule: down, not when idle, up when full, still between, floor zero
+		s := start(deployment(), "e1")
+		e := &s.engines[0]
+		for _, c := range []struct{ bound, running, signal float64 }{
+			{6, 4, 2}, {6, 0, 2}, {6, 6, 1}, {6, 5, 1}, {6, 6, 1.5}, {1, 1, 3}, {0, 1, 3}, {0, 0, 0}} {
+			e.bound, e.running = c.bound, c.running
+			s.stepBound(e, c.signal)
+			s.say("signal %.2g, %g of %g in use: bound %.3g", c.signal, c.running, c.bound, e.bound)
+		}
+		return s
+	},
+	"signals": func() *script { // held queries first, then utilisation, then our own count
+		s := start(deployment(), "e1")
+		e := &s.engines[0]
+		show := func(why string) { s.say("%s: signal %.3g", why, s.signal(e)) }
+		s.at, s.now = Second, Second
+		e.reportAt, e.report = s.at, Report{8, -1, -1, -1}
+		show("8 held on 4 cores, 1.75 threads each")
+		for _, u := range []float64{0.95, 0.6, 0.3} {
+			e.report, e.util = Report{-1, u, -1, -1}, u
+			show(fmt.Sprintf("utilisation %.2f", u))
+		}
+		e.running, e.overdue = 4, 3
+		show("the same with 3 of 4 threads overdue")
+		e.overdue, e.util, s.wanted = 0, 0.6, s.at
+		show("utilisation 0.60 while tasks are given up for want of room")
+		e.running = 8
+		show("the same with two threads of ours a core")
+		s.now += stale
+		show("no report, 8 threads of ours")
+		return s
+	},
+	"chance at zero": func() *script { // at a bound of zero: one query, with chance 1/gateways a tick
+		d := deployment()
+		d.Gateways = 4
+		s := start(d, "e1")
+		s.engines[0].bound = 0
+		s.task("a", 1, 0, "")
+		s.task("b", 1, 0, "")
+		s.pass(400 * Millisecond)
+		return s
+	},
+	"effects": func() *script { // a task that may have run goes on only as its lane allows
+		s := start(deployment(), "e1", "e2")
+		s.task("idempotent", 0, 0, "")
+		s.end("idempotent", Reset)
+		s.task("unrepeatable", 2, 0, "")
+		s.end("unrepeatable", Full)
+		s.end("unrepeatable", Reset)
+		s.end("idempotent", Errored)
+		return s
+	},
+	"deduplicated": func() *script { // within its group and its window; without the group of all no nack
+		d := deployment()
+		d.Lanes[3].Within, d.Lanes[3].Remember = SameZone, 500*Millisecond
+		s := start(d)
+		s.list(Whole, Listing{Engine: "z0"}, Listing{Engine: "z1", Zone: 1})
+		s.task("a", 3, 0, "k")
+		first := s.engines[s.tasks[s.byID["a"]].engine].Zone
+		s.end("a", Errored)
+		s.say("same zone: %t", s.engines[s.tasks[s.byID["a"]].engine].Zone == first)
+		s.pass(600 * Millisecond)
+		s.end("a", Errored)
+		return s
+	},
+	"order": func() *script { // one at a time by key, with the rest after doubt; a give-up may come out of turn
+		d := deployment()
+		d.Settle = 300 * Millisecond
+		d.Lanes[3].Quoted = 5 * Second
+		s := start(d, "e1", "e2")
+		s.task("k1", 3, 0, "k")
+		s.task("k2", 3, 0, "k")
+		s.task("other", 3, 0, "x")
+		s.end("k1", TimedOut)
+		s.end("k1", Delivered)
+		s.pass(400 * Millisecond)
+		return s
+	},
+	"placement": func() *script { // bound lanes stay where they may go, however full that is
+		d := deployment()
+		d.Lanes[0].Zones, d.Lanes[1].Kinds = []int{1}, []int{5}
+		s := start(d)
+		s.list(Whole, Listing{Engine: "z0"}, Listing{Engine: "z1", Zone: 1})
+		s.task("a", 0, 0, "")
+		s.end("a", Full)
+		s.task("nowhere", 1, 0, "")
+		s.pass(5 * Second)
+		return s
+	},
+	"ration": func() *script { // one free further hand-off and a tenth of the tasks taken
+		d := deployment()
+		d.ExtraFree, d.ExtraShare, d.ExtraSpan = 1, 0.1, 5*Second
+		s := start(d, "e1", "e2")
+		for _, id := range []TaskID{"a", "b"} {
+			s.task(id, 0, 0, "")
+			s.end(id, Full)
+		}
+		s.pass(6 * Second)
+		s.task("c", 0, 0, "")
+		s.end("c", Full)
+		return s
+	},
+	"most hand-offs": func() *script {
+		s := start(deployment(), "e1", "e2")
+		s.task("a", 0, 0, "")
+		for range 4 {
+			s.end("a", Full)
+		}
+		return s
+	},
+	"lists": func() *script { // drains at once; an old list; what a full list lacks is gone; a failure keeps it
+		s := start(deployment(), "e1", "e2", "e3")
+		s.list(Changes, Listing{Engine: "e1", State: Draining}, Listing{Engine: "e2", State: Gone})
+		s.task("a", 0, 0, "")
+		s.end("a", Full)
+		s.say("the guard lets a go to e1: %t", s.handOff(s.byID["a"], 0))
+		s.list(Whole, Listing{Engine: "e1"})
+		s.list(NoAnswer)
+		s.pass(20 * Second)
+		s.list(Changes, Listing{Engine: "e1", Since: 19 * Second})
+		return s
+	},
+	"cold": func() *script { // a cold engine gets our part of what it can take in a span
+		d := deployment()
+		d.Gateways = 2
+		s := start(d)
+		s.pass(Second)
+		s.list(Remembered, Listing{Engine: "cold", Since: Second})
+		s.engines[0].bound = 100
+		s.lanes[0].work = float64(300 * Millisecond)
+		for _, id := range []TaskID{"a", "b", "c"} {
+			s.task(id, 0, 300*Millisecond, "")
+		}
+		s.pass(1800 * Millisecond)
+		s.task("d", 0, 300*Millisecond, "")
+		return s
+	},
+	"no engine": func() *script { // held while there is a chance, then answered at once
+		s := start(deployment())
+		s.task("a", 0, 0, "")
+		s.task("b", 2, 0, "")
+		s.pass(3 * Second)
+		return s
+	},
+	"cut-off": func() *script { // a time-out at the cut-off is answered at once; nothing after the client left
+		s := start(deployment(), "e1")
+		s.task("a", 2, 0, "")
+		s.task("b", 0, 0, "")
+		s.ClientGone(s.at, "b")
+		s.pass(10 * Second)
+		s.end("b", Errored)
+		s.end("a", TimedOut)
+		return s
+	},
+	"distrust": func() *script { // a silent engine gets nothing, then trust fades back; all silent condemns none
+		s := start(deployment(), "e1", "e2")
+		s.pass(100 * Millisecond)
+		for range 3 {
+			s.probed("e1", TimedOut, NoReport)
+		}
+		for _, id := range []TaskID{"a", "b", "c"} {
+			s.task(id, 0, 0, "")
+		}
+		for range 3 {
+			s.probed("e2", TimedOut, NoReport)
+		}
+		s.pass(4 * Second)
+		s.probed("e1", Delivered, Report{-1, 0.5, -1, -1})
+		return s
+	},
+	"reports": func() *script { // the same report twice is one sight; two steps need two reports
+		s := start(deployment(), "e1")
+		s.task("a", 0, 0, "")
+		for _, u := range []float64{0.99, 0.99, 0.98} {
+			s.pass(s.at + 200*Millisecond)
+			s.probed("e1", Delivered, Report{-1, u, -1, -1})
+		}
+		return s
+	},
+	"probes": func() *script { // paced by their price, one out at a time
+		s := start(deployment(), "e1")
+		s.probes = true
+		s.pass(40 * Millisecond)
+		s.probed("e1", Delivered, Report{-1, 0.5, -1, -1})
+		s.pass(3 * Second)
+		return s
+	},
+	"bar": func() *script { // under overload what earns least for its work is given up when it comes
+		s := start(deployment(), "e1")
+		s.engines[0].bound = 1
+		s.rankLanes()
+		s.task("a", 1, 800*Millisecond, "")
+		s.task("held", 1, 800*Millisecond, "")
+		s.pass(1800 * Millisecond)
+		s.say("bar %.2f of the best lane's price", s.bar)
+		s.task("short", 1, 800*Millisecond, "")
+		s.task("long", 1, 60*Second, "")
+		return s
+	},
+	"estimates too low": func() *script { // incident: work three times over its estimate is no jam by itself
+		s := start(deployment(), "e1")
+		for i := range 40 {
+			id := TaskID(fmt.Sprint("t", i))
+			s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, 30*Millisecond)
+			s.at += 150 * Millisecond
+			s.Ended(s.at, id, 0, "e1", Delivered, true, 0, 0, NoReport)
+		}
+		s.out.Reset()
+		s.task("a", 0, 30*Millisecond, "")
+		s.at += 200 * Millisecond
+		s.probed("e1", Delivered, Report{-1, 0.2, -1, -1})
+		s.say("usual work %s, overdue threads %g", ms(Time(s.lanes[0].work)), s.engines[0].overdue)
+		return s
+	},
+	"crowded": func() *script { // incident: idle cores under overdue tasks step the bound down, not up
+		s := start(deployment(), "e1")
+		s.engines[0].bound = 2
+		s.task("a", 0, 0, "")
+		s.task("b", 0, 0, "")
+		s.pass(1800 * Millisecond)
+		s.probed("e1", Delivered, Report{-1, 0.1, -1, -1})
+		return s
+	},
+	"bad plan": func() *script { // called off once where the engine stops; slow again is long by itself
+		d := deployment()
+		d.Cancels = true
+		s := start(d, "e1", "e2")
+		s.lanes[1].run = float64(300 * Millisecond)
+		s.task("a", 1, 0, "")
+		s.pass(500 * Millisecond)
+		s.Noted(s.at, "a", 0, Progress, 0.3)
+		s.Noted(s.at, "a", 0, Progress, 0.02)
+		s.end("a", Cancelled)
+		s.pass(Second)
+		s.Noted(s.at, "a", 1, Progress, 0.02)
+		return s
+	},
+	"ranks": func() *script { // by earnings for work; last once past the quoted time
+		d := deployment()
+		d.Ranked = true
+		s := start(d, "e1")
+		s.rankLanes()
+		for lane, id := range []TaskID{"l0", "l1", "l2"} {
+			s.task(id, lane, 0, "")
+		}
+		s.pass(Second)
+		return s
+	},
+}
+
+func TestScripts(t *testing.T) {
+	for name, run := range scripts {
+		t.Run(name, func(t *testing.T) {
+			file, got := "testdata/"+name+".txt", run().out.String()
+			if *keep {
+				if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+					t.Fatal(err)
+				}
+			}
+			want, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got != string(want) {
+				t.Errorf("trace differs\ngot:\n%s\nkept:\n%s", got, want)
+			}
+			if again := run().out.String(); again != got {
+				t.Errorf("the same events gave another trace:\n%s", again)
+			}
+		})
+	}
+}
+
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	d := deployment()
+	d.Ranked = true
+	r := New(0, 1, d, quiet{})
+	r.Listed(0, Whole, []Listing{{Engine: "e1"}, {Engine: "e2"}})
+	now := Time(0)
+	round := func() {
+		now += 5 * Millisecond
+		r.Arrived(now, "a", now+Second, 0, 0, "", 3, 50*Millisecond)
+		r.Arrived(now, "b", now+Second, 3, 0, "key", 3, 0)
+		r.Due(now)
+		r.Probed(now, "e1", Delivered, Report{-1, float64(now%100) / 100, -1, -1})
+		r.Ended(now, "a", 0, "e1", Delivered, true, 0, 0, NoReport)
+		r.Ended(now, "b", 0, "e1", Delivered, true, 0, 0, NoReport)
+	}
+	round()
+	if n := testing.AllocsPerRun(1000, round); n != 0 {
+		t.Errorf("%v allocations a round", n)
+	}
+	if len(r.byID) != 0 || len(r.turns) != 0 {
+		t.Errorf("%d tasks and %d keys left", len(r.byID), len(r.turns))
+	}
+}
+
+type quiet struct{}
+
+func (quiet) HandOff(TaskID, EngineID, Time) {}
+func (quiet) Cancel(TaskID, int)             {}
+func (quiet) Nack(TaskID, Time)              {}
+func (quiet) WriteOff(TaskID)                {}
+func (quiet) Terms(TaskID, float64, int)     {}
+func (quiet) Probe(EngineID)                 {}
+func (quiet) Subscribe()                     {}
+func (quiet) Wake(Time)                      {}
+func (quiet) Say(string)                     {}
+
+func ExampleRouter() {
+	s := start(deployment(), "e1")
+	s.task("t1", 0, 0, "")
+	s.pass(80 * Millisecond)
+	s.end("t1", Delivered)
+	fmt.Print(s.out.String())
+	// Output:
+	//      0 ms  t1 arrives in lane 0
+	//      0 ms    -> hand t1 to e1, patience 10000 ms
+	//     80 ms  t1 ends: delivered
+}
