--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -616,12 +616,13 @@
 	if e.report.Held >= 0 {
 		return e.report.Held / e.cores * r.step
 	}
-	// Cores that idle while most of what we have there runs far longer than its lane's work asks for are no
-	// room: tasks wait for disks, memory or loads, and a step up would crowd the engine further.
+	// Cores that idle while most of what we have there, a thread a core or more, runs far longer than its work
+	// asks for are no room: tasks wait for disks, memory or loads, and a step up would crowd the engine further.
+	// Harm: below a thread a core a few long tasks would look the same, so there it must not act.
 	const crowded = 0.5
 	own := e.running - e.since
 	switch {
-	case e.util > high || own > 0 && e.overdue >= crowded*own:
+	case e.util > high || own*float64(r.d.Gateways) >= e.cores && e.overdue >= crowded*own:
 		return threshold
 	case e.util <= low || r.now-r.wanted < Second && own*float64(r.d.Gateways) < threshold*e.cores:
 		// The second case is an exception to the still band: while held tasks are given up for want of room and
@@ -691,7 +692,7 @@
 		threads := float64(r.d.Lanes[t.lane].Threads)
 		if t.sentAt >= e.sinceAt {
 			e.since += threads
-		} else if float64(now-t.sentAt)*threads > far*l.work*max(1, l.ease) {
+		} else if float64(now-t.sentAt)*threads > far*max(l.work, float64(t.work))*max(1, l.ease) {
 			e.overdue += threads
 		}
 	}
