--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -154,7 +154,7 @@
 		}
 	}
 	r.hold(i)
-	if p := l.Earnings / length; p < 0.99*r.bestPrice && p*r.spread(work) < r.bar*r.bestPrice {
+	if p := r.price(lane, length); p < 0.99*r.bestPrice && p*r.spread(work) < r.bar*r.bestPrice {
 		r.wanted = now
 		r.giveUp(i)
 		return
@@ -560,16 +560,21 @@
 	l.work += 1 / (l.tasks + 1) * (work - l.work) // what it started from counts as one
 }
 
+// price is what a task earns for its work, as far as the lane's answers bear out what was told of it.
+func (r *Router) price(lane int, work float64) float64 {
+	return r.d.Lanes[lane].Earnings / work / max(1, r.lanes[lane].ease)
+}
+
 // rankLanes orders lanes by earnings for the work they take.
 func (r *Router) rankLanes() {
 	best := 0.0
 	for i := range r.lanes {
-		best = max(best, r.d.Lanes[i].Earnings/r.lanes[i].work)
+		best = max(best, r.price(i, r.lanes[i].work))
 	}
 	r.bestPrice = best
 	for i := range r.lanes {
 		// Shares go 1:4:8:16 by rank; 0 stays for what is late.
-		switch v := r.d.Lanes[i].Earnings / r.lanes[i].work; {
+		switch v := r.price(i, r.lanes[i].work); {
 		case v >= 0.7*best:
 			r.lanes[i].rank = 3
 		case v >= 0.35*best:
