--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -39,7 +39,6 @@
 	taken          float64 // tasks a second, as seen
 	bar, bestPrice float64 // least price of a task taken on, as a part of the best lane's
 	wanted         Time    // when a held task was last given up for want of room
-	late           Time    // when running tasks were last looked over
 }
 
 // tick is the timer's pace: a held task is given up at most this late, well within the answer's slack.
@@ -49,7 +48,7 @@
 func New(now Time, seed int64, d *Deployment, host Host) *Router {
 	r := &Router{host: host, d: d, rng: rand.New(rand.NewSource(seed)), now: now, byID: map[TaskID]int32{},
 		turns: map[string]turn{}, named: map[EngineID]int32{}, lanes: make([]learned, len(d.Lanes)),
-		used: make([]float64, max(1, len(d.Tenants))), pace: slowestProbe, late: now, wanted: now - Second}
+		used: make([]float64, max(1, len(d.Tenants))), pace: slowestProbe, wanted: now - Second}
 	for i := range d.Lanes {
 		l := &d.Lanes[i]
 		r.step += float64(l.Threads) / float64(len(d.Lanes))
@@ -101,7 +100,10 @@
 			if l.Kind >= 0 && l.Kind < len(r.d.Cores) {
 				e.cores = max(1, r.d.Cores[l.Kind])
 			}
-			e.bound, e.distrust, e.report, e.closed = r.startBound(e), 0, NoReport, false
+			if e.size = math.Inf(1); l.Kind >= 0 && l.Kind < len(r.d.Memory) {
+				e.size = r.d.Memory[l.Kind]
+			}
+			e.bound, e.distrust, e.report = r.startBound(e), 0, NoReport
 			e.reportAt, e.probedAt, e.cold = now, now-slowestProbe, e.cold[:0]
 		}
 	}
@@ -378,16 +380,16 @@
 	r.unhold(i)
 	l, learned := &r.d.Lanes[t.lane], &r.lanes[t.lane]
 	threads := float64(l.Threads)
-	t.out, t.engine, t.sentAt, t.rank = true, to, r.now, r.rankOf(t)
-	t.tries++
-	if t.tries > 1 {
-		if s := r.span(); s != nil {
-			s.extra++
-		}
+	if s := r.span(); s != nil && t.tries > 0 {
+		s.extra++
 	}
+	t.out, t.engine, t.sentAt = true, to, r.now
+	t.tries++
 	if r.isCold(e) {
 		e.cold = append(e.cold, sent{r.now, learned.work})
 	}
+	t.memory = learned.memory
+	e.memory += t.memory
 	e.running += threads
 	e.since += threads
 	e.lucky = false
@@ -395,7 +397,6 @@
 		e.loads = append(e.loads, t.tables)
 	}
 	r.used[t.tenant] += threads
-
 	grant := 0.0
 	if r.d.Grants && r.d.Swaps && learned.memory > 0 {
 		// Where an engine swaps, memory granted and not needed costs nothing and too little spills; needs
@@ -403,8 +404,9 @@
 		const ample = 3
 		grant = ample * learned.memory
 	}
-	if grant > 0 || r.d.Ranked && t.rank != 1 {
-		r.host.Terms(t.id, grant, t.rank)
+	if rank := r.rankOf(t); grant > 0 || rank != t.rank {
+		t.rank = rank
+		r.host.Terms(t.id, grant, rank)
 	}
 	patience := t.cutoff - r.now
 	if r.d.Cancels {
@@ -419,18 +421,15 @@
 // rankOf is a task's priority on its engine: by what its lane earns for its work, and last once the quoted
 // time is past.
 func (r *Router) rankOf(t *task) int {
-	if !r.d.Ranked {
-		return 1
-	}
-	if r.now > t.quoted {
+	if r.d.Ranked && r.now > t.quoted {
 		return 0
 	}
 	return r.lanes[t.lane].rank
 }
 
-// Ended takes in how the n-th hand-off of a task ended; over: the client has its answer.
-func (r *Router) Ended(now Time, id TaskID, n int, name EngineID, how Outcome, over bool, work Time,
-	memory float64, report Report) {
+// Ended takes in how a task's hand-off ended, and what the answer told of work, memory and the engine's load;
+// over: the client has its answer.
+func (r *Router) Ended(now Time, id TaskID, how Outcome, over bool, work Time, memory float64, load Report) {
 	r.now = now
 	i, ok := r.byID[id]
 	if !ok || !r.tasks[i].out {
@@ -444,8 +443,8 @@
 		e.loads = slices.Delete(e.loads, k, k+1)
 	}
 	e.running -= threads
+	e.memory -= t.memory
 	r.used[t.tenant] -= threads
-
 	if t.sentAt >= e.sinceAt {
 		e.since -= threads
 	}
@@ -473,6 +472,7 @@
 			r.turns[t.key] = turn
 		}
 	}
+	r.reported(t.engine, load)
 	if over || t.gone {
 		r.drop(i)
 	} else if how == Moot || !r.worthHolding(t) {
@@ -567,20 +567,19 @@
 
 // rankLanes orders lanes by earnings for the work they take.
 func (r *Router) rankLanes() {
-	best := 0.0
+	r.bestPrice = 0
 	for i := range r.lanes {
-		best = max(best, r.price(i, r.lanes[i].work))
+		r.bestPrice = max(r.bestPrice, r.price(i, r.lanes[i].work))
 	}
-	r.bestPrice = best
 	for i := range r.lanes {
 		// Shares go 1:4:8:16 by rank; 0 stays for what is late.
-		switch v := r.price(i, r.lanes[i].work); {
-		case v >= 0.7*best:
-			r.lanes[i].rank = 3
-		case v >= 0.35*best:
+		switch v := r.price(i, r.lanes[i].work) / r.bestPrice; {
+		case !r.d.Ranked || v < 0.35:
+			r.lanes[i].rank = 1
+		case v < 0.7:
 			r.lanes[i].rank = 2
 		default:
-			r.lanes[i].rank = 1
+			r.lanes[i].rank = 3
 		}
 	}
 }
@@ -594,8 +593,7 @@
 	}
 	t := &r.tasks[i]
 	if news != Progress || !t.out || t.gone || t.tries != n+1 || !r.d.Cancels || t.drawn ||
-		r.d.Lanes[t.lane].Effect != Idempotent ||
-		r.d.MaxTries > 0 && t.tries >= r.d.MaxTries {
+		r.d.Lanes[t.lane].Effect != Idempotent || r.d.MaxTries > 0 && t.tries >= r.d.MaxTries {
 		return
 	}
 	// A bad plan is drawn anew at each hand-off. One that will take this many usual runs more is called off,
@@ -624,11 +622,14 @@
 	// Cores that idle while most of what we have there, a thread a core or more, runs far longer than its work
 	// asks for are no room: tasks wait for disks, memory or loads, and a step up would crowd the engine further.
 	// Harm: below a thread a core a few long tasks would look the same, so there it must not act.
-	const crowded = 0.5
+	const crowded, half = 0.5, 0.5
 	own := e.running - e.since
 	switch {
 	case e.util > high || own*float64(r.d.Gateways) >= e.cores && e.overdue >= crowded*own:
 		return threshold
+	case e.memory*float64(r.d.Gateways) > half*e.size:
+		// No room either, though cores idle: what our hand-offs there need is half of our equal part of the
+		// memory. Needs scatter widely and the others' are not seen, so half a part is taken for full.
 	case e.util <= low || r.now-r.wanted < Second && own*float64(r.d.Gateways) < threshold*e.cores:
 		// The second case is an exception to the still band: while held tasks are given up for want of room and
 		// our own count is under the threshold, room is taken up to the high mark. The band of utilisation is
@@ -647,10 +648,8 @@
 		if e.running > 0 {
 			e.bound = max(0, e.bound-r.step)
 		}
-	} else if signal <= threshold/2.0 {
-		if e.running >= e.bound && r.rng.Float64()*float64(r.d.Gateways) < 1 {
-			e.bound += r.step
-		}
+	} else if signal <= threshold/2.0 && e.running >= e.bound && r.rng.Float64()*float64(r.d.Gateways) < 1 {
+		e.bound += r.step
 	}
 	e.steppedAt = r.now
 }
@@ -678,8 +677,16 @@
 		r.doubt(e, 1.5)
 		return
 	}
+	r.reported(i, report)
+	r.release()
+}
+
+// reported takes in an engine's report, and steps the bound if it is a new one: a step on the one we had
+// would count one sight twice.
+func (r *Router) reported(i int32, report Report) {
+	e, now := &r.engines[i], r.now
 	if report == NoReport || report == e.report {
-		return // the report we had: a step on it would count one sight twice
+		return
 	}
 	if e.report.Util < 0 {
 		e.util = report.Util
@@ -702,7 +709,6 @@
 		}
 	}
 	r.stepBound(e, r.signal(e))
-	r.release()
 }
 
 // Distrust: failures add to an engine's score, which halves every halfLife; its bound and its weight in the
@@ -717,9 +723,11 @@
 func (r *Router) doubt(e *engine, points float64) {
 	e.distrust = min(mostDoubted, r.score(e)+points)
 	e.distrustAt = r.now
-	if !e.closed && e.distrust-r.leastDistrust() >= shut {
-		e.closed = true
-		r.host.Say(fmt.Sprintf("engine %s distrusted", e.Engine))
+	// Said at most so often for an engine: a person acts on the first line.
+	const again = 10 * Second
+	if e.distrust-r.leastDistrust() >= shut && (e.saidAt == 0 || r.now-e.saidAt >= again) {
+		e.saidAt = r.now
+		r.host.Say(fmt.Sprintf("engine %s distrusted: no new tasks until the score fades", e.Engine))
 	}
 }
 
@@ -745,7 +753,7 @@
 // Due is the timer: probes, steps where no report comes, the chance at a bound of zero, tasks given up.
 func (r *Router) Due(now Time) {
 	r.now = now
-	live := 0
+	live := 0.0
 	for i := range r.engines {
 		if r.engines[i].State == Live {
 			live++
@@ -754,7 +762,7 @@
 	// A steady pace keeps the price: probes a second over tasks a second, times their price.
 	r.taken -= r.taken * float64(tick) / float64(10*Second)
 	rate := max(0.1, r.taken/10)
-	r.pace = Time(float64(Second) * float64(live) * r.d.ProbePrice / (probeBudget * rate))
+	r.pace = Time(float64(Second) * live * r.d.ProbePrice / (probeBudget * rate))
 	r.pace = min(max(r.pace, fastestProbe), slowestProbe)
 	for i := range r.engines {
 		e := &r.engines[i]
@@ -770,35 +778,29 @@
 		if now-max(e.reportAt, e.steppedAt) >= stale/3 && now-e.reportAt >= stale {
 			r.stepBound(e, r.signal(e))
 		}
-		if e.closed && r.score(e)-r.leastDistrust() < shut {
-			e.closed = false
-			r.host.Say(fmt.Sprintf("engine %s trusted again", e.Engine))
-		}
 	}
 	starving := false
 	for i := range r.tasks {
 		t := &r.tasks[i]
-		if t.id == "" || t.out {
+		if t.id == "" || t.gone {
+			continue
+		}
+		if t.out {
+			if r.d.Ranked && t.rank != 0 && now > t.quoted {
+				t.rank = 0
+				r.host.Terms(t.id, 0, 0)
+			}
 			continue
 		}
 		last := r.latest(t)
-		starving = starving || t.queued && now-t.arrived > (last-t.arrived)/2
+		starving = starving || t.queued && now-t.arrived > (last-t.arrived)/2 && r.mayTry(t)
 		if now >= last {
 			r.wanted = now
 			r.giveUp(int32(i))
 		}
 	}
 	r.moveBar(starving)
-	if r.d.Ranked && now-r.late >= 5*tick {
-		r.late = now
-		r.rankLanes()
-		for i := range r.tasks {
-			if t := &r.tasks[i]; t.out && !t.gone && t.rank != 0 && now > t.quoted {
-				t.rank = 0
-				r.host.Terms(t.id, 0, 0)
-			}
-		}
-	}
+	r.rankLanes()
 	r.release()
 	r.host.Wake(now + tick)
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -53,10 +53,10 @@
 		e := &s.engines[0]
 		show := func(why string) { s.say("%s: signal %.3g", why, s.signal(e)) }
 		s.at, s.now = Second, Second
-		e.reportAt, e.report = s.at, Report{8, -1, -1, -1}
+		e.reportAt, e.report = s.at, Report{8, -1}
 		show("8 held on 4 cores, 1.75 threads each")
 		for _, u := range []float64{0.95, 0.6, 0.3} {
-			e.report, e.util = Report{-1, u, -1, -1}, u
+			e.report, e.util = Report{-1, u}, u
 			show(fmt.Sprintf("utilisation %.2f", u))
 		}
 		e.running, e.overdue = 4, 3
@@ -204,7 +204,7 @@
 			s.probed("e2", TimedOut, NoReport)
 		}
 		s.pass(4 * Second)
-		s.probed("e1", Delivered, Report{-1, 0.5, -1, -1})
+		s.probed("e1", Delivered, Report{-1, 0.5})
 		return s
 	},
 	"reports": func() *script { // the same report twice is one sight; two steps need two reports
@@ -212,7 +212,7 @@
 		s.task("a", 0, 0, "")
 		for _, u := range []float64{0.99, 0.99, 0.98} {
 			s.pass(s.at + 200*Millisecond)
-			s.probed("e1", Delivered, Report{-1, u, -1, -1})
+			s.probed("e1", Delivered, Report{-1, u})
 		}
 		return s
 	},
@@ -220,7 +220,7 @@
 		s := start(deployment(), "e1")
 		s.probes = true
 		s.pass(40 * Millisecond)
-		s.probed("e1", Delivered, Report{-1, 0.5, -1, -1})
+		s.probed("e1", Delivered, Report{-1, 0.5})
 		s.pass(3 * Second)
 		return s
 	},
@@ -242,12 +242,12 @@
 			id := TaskID(fmt.Sprint("t", i))
 			s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, 30*Millisecond)
 			s.at += 150 * Millisecond
-			s.Ended(s.at, id, 0, "e1", Delivered, true, 0, 0, NoReport)
+			s.Ended(s.at, id, Delivered, true, 0, 0, NoReport)
 		}
 		s.out.Reset()
 		s.task("a", 0, 30*Millisecond, "")
 		s.at += 200 * Millisecond
-		s.probed("e1", Delivered, Report{-1, 0.2, -1, -1})
+		s.probed("e1", Delivered, Report{-1, 0.2})
 		s.say("usual work %s, overdue threads %g", ms(Time(s.lanes[0].work)), s.engines[0].overdue)
 		return s
 	},
@@ -258,7 +258,7 @@
 			s.task(id, 0, 0, "")
 		}
 		s.pass(1800 * Millisecond)
-		s.probed("e1", Delivered, Report{-1, 0.1, -1, -1})
+		s.probed("e1", Delivered, Report{-1, 0.1})
 		return s
 	},
 	"bad plan": func() *script { // called off once where the engine stops; slow again is long by itself
@@ -322,9 +322,9 @@
 		r.Arrived(now, "a", now+Second, 0, 0, "", 3, 50*Millisecond)
 		r.Arrived(now, "b", now+Second, 3, 0, "key", 3, 0)
 		r.Due(now)
-		r.Probed(now, "e1", Delivered, Report{-1, float64(now%100) / 100, -1, -1})
-		r.Ended(now, "a", 0, "e1", Delivered, true, 0, 0, NoReport)
-		r.Ended(now, "b", 0, "e1", Delivered, true, 0, 0, NoReport)
+		r.Probed(now, "e1", Delivered, Report{-1, float64(now%100) / 100})
+		r.Ended(now, "a", Delivered, true, 0, 0, NoReport)
+		r.Ended(now, "b", Delivered, true, 0, 0, NoReport)
 	}
 	round()
 	if n := testing.AllocsPerRun(1000, round); n != 0 {
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -81,10 +81,9 @@
 }
 
 func (s *script) end(id TaskID, how Outcome) {
-	t := &s.tasks[s.byID[id]]
 	s.say("%s ends: %s", id, [...]string{"delivered", "error", "full", "timed out", "unreachable", "reset",
 		"cancelled", "moot"}[how])
-	s.Ended(s.at, id, t.tries-1, s.engines[t.engine].Engine, how, how == Delivered, 0, 0, NoReport)
+	s.Ended(s.at, id, how, how == Delivered, 0, 0, NoReport)
 }
 
 func (s *script) probed(e EngineID, how Outcome, report Report) {
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -13,6 +13,7 @@
 	arrived, cutoff, quoted  Time
 	work                     Time // as estimated; 0: not told
 	seq                      uint64
+	memory                   float64
 	tries                    int
 	out, gone, mayRan, drawn bool // drawn: its plan was drawn anew once already
 	queued                   bool
@@ -43,7 +44,9 @@
 	Listing
 	listed     bool
 	cores      float64
+	size       float64 // MB of memory
 	bound      float64 // threads
+	memory     float64 // MB that our hand-offs there usually need
 	running    float64 // threads of our hand-offs without an outcome
 	ghosts     float64 // threads of timed-out hand-offs that the engine may still work on, fading
 	report     Report
@@ -58,7 +61,7 @@
 	lucky      bool // may get the one query that a bound of zero allows
 	distrust   float64
 	distrustAt Time
-	closed     bool
+	saidAt     Time   // when its distrust was last logged
 	loads      []int  // tables that our loads hold there
 	hash       uint32 // of its id
 	cold       []sent // hand-offs within the span in which a cold engine can fall over
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -64,10 +64,10 @@
 }
 
 // Report is an engine's load report; a value below 0 is absent.
-type Report struct{ Held, Util, Memory, Disks float64 }
+type Report struct{ Held, Util float64 }
 
 // NoReport has no value at all.
-var NoReport = Report{-1, -1, -1, -1}
+var NoReport = Report{-1, -1}
 
 // News is a kind of note about a running hand-off.
 type News uint8
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -158,10 +158,6 @@
 			r.Held = v
 		case "util":
 			r.Util = v
-		case "x0":
-			r.Memory = v
-		case "x1":
-			r.Disks = v
 		}
 	}
 	return r
@@ -303,10 +299,12 @@
 	case "response":
 		id, how, cost := admission.TaskID(w.text("handle")), w.outcome("disposition"), w.num("usedUp")
 		w.num("rttUs")
-		n, over, engine := int(w.num("n")), w.num("finished") != 0, admission.EngineID(w.text("engine"))
+		w.num("n")
+		over := w.num("finished") != 0
+		w.text("engine")
 		report := w.report("serverStats")
 		work, memory := admission.Time(cost/4096)*admission.Millisecond, float64(cost%4096)*4
-		call = func(r *admission.Router) { r.Ended(now, id, n, engine, how, over, work, memory, report) }
+		call = func(r *admission.Router) { r.Ended(now, id, how, over, work, memory, report) }
 	case "timed_out_client":
 		id := admission.TaskID(w.text("handle"))
 		call = func(r *admission.Router) { r.ClientGone(now, id) }
