--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -278,7 +278,7 @@
 	if e.report.Util >= 0 && r.now-e.reportAt < stale {
 		return e.report.Util + e.since/e.cores
 	}
-	return (e.running + e.ghosts) / max(1, e.bound)
+	return e.running / max(1, e.bound)
 }
 
 // open tells whether an engine has room under its bound. Distrust narrows it, down to nothing.
@@ -289,7 +289,7 @@
 	if e.bound < 1 {
 		return e.running == 0 && e.lucky
 	}
-	return e.running+e.ghosts < e.bound*r.trust(e, least)
+	return e.running < e.bound*r.trust(e, least)
 }
 
 // mayTry is the part of the rules that doesn't depend on the engine: one hand-off at a time, none after the
@@ -404,7 +404,7 @@
 		const ample = 3
 		grant = ample * learned.memory
 	}
-	if rank := r.rankOf(t); grant > 0 || rank != t.rank {
+	if rank := learned.rank; grant > 0 || rank != t.rank {
 		t.rank = rank
 		r.host.Terms(t.id, grant, rank)
 	}
@@ -418,15 +418,6 @@
 	return true
 }
 
-// rankOf is a task's priority on its engine: by what its lane earns for its work, and last once the quoted
-// time is past.
-func (r *Router) rankOf(t *task) int {
-	if r.d.Ranked && r.now > t.quoted {
-		return 0
-	}
-	return r.lanes[t.lane].rank
-}
-
 // Ended takes in how a task's hand-off ended, and what the answer told of work, memory and the engine's load;
 // over: the client has its answer.
 func (r *Router) Ended(now Time, id TaskID, how Outcome, over bool, work Time, memory float64, load Report) {
@@ -457,10 +448,6 @@
 		r.doubt(e, 0.5)
 	case Full:
 		r.stepBound(e, threshold)
-	case TimedOut:
-		if !r.d.Cancels {
-			e.ghosts += threads // an engine that doesn't stop at a time-out works on
-		}
 	}
 	if how != Delivered && !how.NeverRan() {
 		if !t.mayRan {
@@ -572,7 +559,6 @@
 		r.bestPrice = max(r.bestPrice, r.price(i, r.lanes[i].work))
 	}
 	for i := range r.lanes {
-		// Shares go 1:4:8:16 by rank; 0 stays for what is late.
 		switch v := r.price(i, r.lanes[i].work) / r.bestPrice; {
 		case !r.d.Ranked || v < 0.35:
 			r.lanes[i].rank = 1
@@ -614,7 +600,7 @@
 func (r *Router) signal(e *engine) float64 {
 	const high, low = 0.9, 0.45
 	if r.now-e.reportAt >= stale {
-		return (e.running + e.ghosts) * float64(r.d.Gateways) / e.cores
+		return e.running * float64(r.d.Gateways) / e.cores
 	}
 	if e.report.Held >= 0 {
 		return e.report.Held / e.cores * r.step
@@ -766,7 +752,6 @@
 	r.pace = min(max(r.pace, fastestProbe), slowestProbe)
 	for i := range r.engines {
 		e := &r.engines[i]
-		e.ghosts -= e.ghosts * float64(tick) / float64(2*Second) // about a long task's usual run
 		if e.State != Live {
 			continue
 		}
@@ -782,14 +767,7 @@
 	starving := false
 	for i := range r.tasks {
 		t := &r.tasks[i]
-		if t.id == "" || t.gone {
-			continue
-		}
-		if t.out {
-			if r.d.Ranked && t.rank != 0 && now > t.quoted {
-				t.rank = 0
-				r.host.Terms(t.id, 0, 0)
-			}
+		if t.id == "" || t.out {
 			continue
 		}
 		last := r.latest(t)
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -48,7 +48,6 @@
 	bound      float64 // threads
 	memory     float64 // MB that our hand-offs there usually need
 	running    float64 // threads of our hand-offs without an outcome
-	ghosts     float64 // threads of timed-out hand-offs that the engine may still work on, fading
 	report     Report
 	util       float64 // reported, smoothed
 	overdue    float64 // threads of our hand-offs that run far longer than usual, at the last report
