--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -598,33 +598,40 @@
 // signal is how loaded an engine is, in units of the threshold. Where it reports no held queries, its
 // utilisation stands in; where it reports nothing, our own held count there does, for all gateways.
 func (r *Router) signal(e *engine) float64 {
-	const high, low = 0.9, 0.45
-	if r.now-e.reportAt >= stale {
-		return e.running * float64(r.d.Gateways) / e.cores
-	}
-	if e.report.Held >= 0 {
-		return e.report.Held / e.cores * r.step
-	}
-	// Cores that idle while most of what we have there, a thread a core or more, runs far longer than its work
-	// asks for are no room: tasks wait for disks, memory or loads, and a step up would crowd the engine further.
-	// Harm: below a thread a core a few long tasks would look the same, so there it must not act.
-	const crowded, half = 0.5, 0.5
+	const high, low, still = 0.9, 0.45, 0.75 * threshold
 	own := e.running - e.since
+	signal := still
 	switch {
-	case e.util > high || own*float64(r.d.Gateways) >= e.cores && e.overdue >= crowded*own:
+	case r.now-e.reportAt >= stale:
+		return e.running * float64(r.d.Gateways) / e.cores
+	case e.report.Held >= 0:
+		signal = e.report.Held / e.cores * r.step
+	case e.util > high:
 		return threshold
-	case e.memory*float64(r.d.Gateways) > half*e.size:
+	case own*float64(r.d.Gateways) >= e.cores && e.overdue >= crowded*own:
+		// Cores that idle while most of what we have there, a thread a core or more, runs far longer than its
+		// work asks for are no room: tasks wait for disks, memory or loads, and a step up would crowd them more.
+		// Harm: below a thread a core a few long tasks would look the same, so there it must not act.
+		return threshold
+	case e.memory*float64(r.d.Gateways) > halfPart*e.size:
 		// No room either, though cores idle: what our hand-offs there need is half of our equal part of the
 		// memory. Needs scatter widely and the others' are not seen, so half a part is taken for full.
-	case e.util <= low || r.now-r.wanted < Second && own*float64(r.d.Gateways) < threshold*e.cores:
-		// The second case is an exception to the still band: while held tasks are given up for want of room and
-		// our own count is under the threshold, room is taken up to the high mark. The band of utilisation is
-		// wide, and a bound stepped down in a burst would stay there. Harm: where it hides a shortage.
+		return still
+	case e.util <= low:
+		return 0
+	}
+	if signal < threshold && r.now-r.wanted < Second && own*float64(r.d.Gateways) < threshold*e.cores {
+		// An exception to the still band: while held tasks are given up for want of room and our own count is
+		// under our part of the threshold, room is taken. The band is wide, and a bound stepped down in a burst
+		// would stay there; and a gateway that came to less than its part would. Harm: where a shortage hides.
 		return 0
 	}
-	return threshold * 0.75
+	return signal
 }
 
+// What tells a crowded engine: half of our threads overdue, or half of our part of its memory needed.
+const crowded, halfPart = 0.5, 0.5
+
 // stepBound is the step rule of the paper's CPULoad, one query at a time: down at the threshold unless none
 // is in use, up at half of it or less with every slot in use, and still between. The floor is zero. An engine
 // hears all gateways at once: each takes a step up only with the chance that the design gives it at zero, so
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -65,6 +65,11 @@
 		show("utilisation 0.60 while tasks are given up for want of room")
 		e.running = 8
 		show("the same with two threads of ours a core")
+		e.report, e.running = Report{3.5, -1}, 4
+		show("3.5 held on 4 cores, 4 threads of ours, while tasks are given up")
+		s.wanted = 0
+		show("the same while none is given up")
+		e.running = 8
 		s.now += stale
 		show("no report, 8 threads of ours")
 		return s
