--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -179,7 +179,7 @@
 // Harm: where a lane's estimates are far too high, it is shed before others.
 func (r *Router) moveBar(starving bool) {
 	const rise, fall = 1.06, 0.97     // a tick: doubled in a quarter of a second, halved in twice that
-	const lowest, highest = 0.02, 0.9 // of the best lane's price: the bar sheds much, but never all
+	const lowest, highest = 0.02, 1.5 // of the best lane's price, whose usual tasks pass all the same
 	if starving {
 		r.bar = min(highest, r.bar*rise)
 	} else {
@@ -483,7 +483,9 @@
 	if t.work > 0 {
 		usual *= float64(t.work) / r.lanes[t.lane].work
 	}
-	return min(t.quoted-min(Time(usual), (t.quoted-t.arrived)/2), t.cutoff-2*tick)
+	const slack, most = 1.5, 2.0 / 3 // usual runs kept free, and at most this part of the time to the quoted one
+	free := min(slack*usual, most*float64(t.quoted-t.arrived))
+	return min(t.quoted-Time(free), t.cutoff-2*tick)
 }
 
 // giveUp is the only place that answers a task without an engine, and it does so at once: a nack where a
