--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -235,7 +235,7 @@
 		s.rankLanes()
 		s.task("a", 1, 800*Millisecond, "")
 		s.task("held", 1, 800*Millisecond, "")
-		s.pass(1800 * Millisecond)
+		s.pass(1560 * Millisecond)
 		s.say("bar %.2f of the best lane's price", s.bar)
 		s.task("short", 1, 800*Millisecond, "")
 		s.task("long", 1, 60*Second, "")
