--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -38,6 +38,7 @@
 	pace           Time    // between probes of an engine
 	taken          float64 // tasks a second, as seen
 	bar, bestPrice float64 // least price of a task taken on, as a part of the best lane's
+	askAt          Time    // when to ask for the list again; 0: not
 	wanted         Time    // when a held task was last given up for want of room
 }
 
@@ -77,9 +78,8 @@
 func (r *Router) Listed(now Time, form Form, list []Listing) {
 	r.now = now
 	if form == NoAnswer {
-		if r.d.Asks {
-			r.host.Subscribe()
-		}
+		const again = Second // a list service that fails is asked no faster, and well within any deemed telling
+		r.askAt = now + again
 		return
 	}
 	if form != Changes {
@@ -162,6 +162,9 @@
 		return
 	}
 	r.release()
+	if t := &r.tasks[i]; t.queued && now >= r.latest(t) {
+		r.giveUp(i) // it came too late to wait for the next tick
+	}
 }
 
 // spread sets tasks of unknown length apart by chance, so that a rising bar takes a lane's tasks bit by bit.
@@ -754,6 +757,10 @@
 			live++
 		}
 	}
+	if r.d.Asks && r.askAt > 0 && now >= r.askAt {
+		r.askAt = 0
+		r.host.Subscribe()
+	}
 	// A steady pace keeps the price: probes a second over tasks a second, times their price.
 	r.taken -= r.taken * float64(tick) / float64(10*Second)
 	rate := max(0.1, r.taken/10)
@@ -788,6 +795,7 @@
 	}
 	r.moveBar(starving)
 	r.rankLanes()
+	r.restTurns()
 	r.release()
 	r.host.Wake(now + tick)
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -118,6 +118,12 @@
 		s.end("k1", TimedOut)
 		s.end("k1", Delivered)
 		s.pass(400 * Millisecond)
+		s.end("k2", TimedOut)
+		s.end("k2", Delivered)
+		s.end("other", Delivered)
+		s.say("%d keys known", len(s.turns))
+		s.pass(800 * Millisecond)
+		s.say("%d keys known", len(s.turns))
 		return s
 	},
 	"placement": func() *script { // bound lanes stay where they may go, however full that is
@@ -164,6 +170,19 @@
 		s.list(Changes, Listing{Engine: "e1", Since: 19 * Second})
 		return s
 	},
+	"asked list": func() *script { // a call that failed is made again a second later, not at once
+		d := deployment()
+		d.Asks = true
+		s := start(d, "e1")
+		s.list(NoAnswer)
+		s.pass(3 * Second)
+		return s
+	},
+	"too late": func() *script { // what comes just before its cut-off and finds no room is answered at once
+		s := start(deployment())
+		s.Arrived(0, "a", 5*Millisecond, 0, 0, "", 0, 0)
+		return s
+	},
 	"cold": func() *script { // a cold engine gets our part of what it can take in a span
 		d := deployment()
 		d.Gateways = 2
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -103,6 +103,19 @@
 	return len(turn.line) == 1
 }
 
+// restTurns forgets keys without tasks whose rest is over.
+func (r *Router) restTurns() {
+	if r.d.Settle == 0 {
+		return // drop forgets them at once
+	}
+	for key, turn := range r.turns {
+		if len(turn.line) == 0 && turn.rest <= r.now {
+			r.spare = append(r.spare, turn.line)
+			delete(r.turns, key)
+		}
+	}
+}
+
 // drop forgets a task that is over and has no hand-off out, and lets the next of its key have its turn.
 func (r *Router) drop(i int32) {
 	t := &r.tasks[i]
