--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -115,11 +115,10 @@
 	r.release()
 }
 
-// startBound is an engine's first bound. Above one thread a core lies the level at which an engine does the
-// most work; a cold one gets its share of that.
+// startBound is an engine's first bound: the signal's threshold in threads a core, shared by the gateways;
+// a cold engine gets its share of that.
 func (r *Router) startBound(e *engine) float64 {
-	const startThreads = 2
-	b := startThreads * e.cores / float64(r.d.Gateways)
+	b := threshold * e.cores / float64(r.d.Gateways)
 	if r.isCold(e) {
 		b *= r.d.ColdShare
 	}
@@ -168,6 +167,7 @@
 }
 
 // spread sets tasks of unknown length apart by chance, so that a rising bar takes a lane's tasks bit by bit.
+// Its width is a factor of eight; four and sixteen did no better.
 func (r *Router) spread(work Time) float64 {
 	if work > 0 {
 		return 1
@@ -260,10 +260,10 @@
 // the same third of engines for a group's reads and another third for its loads, without a word between them.
 // It is a weight: a busy engine still loses the draw. Harm: where one group is most of the traffic.
 func (r *Router) suits(t *task, e *engine) float64 {
-	const strong = 4
+	const strong = 4 // 2 warms less, 8 crowds the same few engines
 	l := &r.d.Lanes[t.lane]
 	if (l.Load || l.HeldByLoads) && slices.Contains(e.loads, t.tables) {
-		return 1.0 / strong / strong // our own load holds them there now
+		return 1.0 / strong / strong // our own load holds them there now: worse than another's that may
 	}
 	h := (e.hash ^ uint32(t.tables)*2654435761) * 2246822519
 	side := (h ^ h>>15) * 3266489917 >> 16 % 3
@@ -557,7 +557,8 @@
 	return r.d.Lanes[lane].Earnings / work / max(1, r.lanes[lane].ease)
 }
 
-// rankLanes orders lanes by earnings for the work they take.
+// rankLanes orders lanes by earnings for the work they take. Shares go up by steps of two to four, so a lane
+// with half the price gets the next lower rank.
 func (r *Router) rankLanes() {
 	r.bestPrice = 0
 	for i := range r.lanes {
@@ -589,7 +590,7 @@
 	}
 	// A bad plan is drawn anew at each hand-off. One that will take this many usual runs more is called off,
 	// once a task: what is slow again is long by itself. Harm: work done for nothing where it was long.
-	const badPlan = 4
+	const badPlan = 4 // far above the spread of a lane's work; 2.5 and 6 did no better
 	run, left := r.lanes[t.lane].run, float64(now-t.sentAt)*(1-value)/max(value, 0.001)
 	if left > badPlan*run && t.cutoff-now > Time(run) {
 		t.drawn = true
@@ -634,7 +635,8 @@
 	return signal
 }
 
-// What tells a crowded engine: half of our threads overdue, or half of our part of its memory needed.
+// What tells a crowded engine: half of our threads overdue, or half of our part of its memory needed. More of
+// either came too late to keep engines from swapping, less held back sound ones.
 const crowded, halfPart = 0.5, 0.5
 
 // stepBound is the step rule of the paper's CPULoad, one query at a time: down at the threshold unless none
@@ -711,7 +713,8 @@
 
 // Distrust: failures add to an engine's score, which halves every halfLife; its bound and its weight in the
 // draw halve with each point, and at shut it gets nothing. The score counts above the least of the fleet's:
-// what strikes all engines alike condemns none.
+// what strikes all engines alike condemns none. A broken or refused connection adds 2, so that two in a row
+// shut an engine; a silent probe 1.5, as one may be chance; an error 0.5, as single errors are common.
 const (
 	halfLife    = 1500 * Millisecond // a struck engine is back under shut within some three seconds
 	shut        = 3.0
