--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -552,9 +552,14 @@
 	l.work += 1 / (l.tasks + 1) * (work - l.work) // what it started from counts as one
 }
 
-// price is what a task earns for its work, as far as the lane's answers bear out what was told of it.
+// price is what a task earns for its work, as far as the lane's answers bear out what was told of it:
+// estimates can be far too high or too low for a lane as a whole.
 func (r *Router) price(lane int, work float64) float64 {
-	return r.d.Lanes[lane].Earnings / work / max(1, r.lanes[lane].ease)
+	ease := r.lanes[lane].ease
+	if ease == 0 {
+		ease = 1 // no answer yet
+	}
+	return r.d.Lanes[lane].Earnings / work / max(0.2, ease) // no estimate is trusted to be five times too high
 }
 
 // rankLanes orders lanes by earnings for the work they take. Shares go up by steps of two to four, so a lane
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -275,6 +275,18 @@
 		s.say("usual work %s, overdue threads %g", ms(Time(s.lanes[0].work)), s.engines[0].overdue)
 		return s
 	},
+	"estimates too high": func() *script { // incident: a lane told twice its work is not shed for it
+		s := start(deployment(), "e1")
+		for i := range 20 {
+			id := TaskID(fmt.Sprint("t", i))
+			s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, 200*Millisecond)
+			s.at += 100 * Millisecond
+			s.Ended(s.at, id, Delivered, true, 0, 0, NoReport)
+		}
+		s.out.Reset()
+		s.say("price over that of the work told: %.2f", s.price(0, 1)/s.d.Lanes[0].Earnings)
+		return s
+	},
 	"crowded": func() *script { // incident: idle cores under overdue tasks step the bound down, not up
 		s := start(deployment(), "e1")
 		s.engines[0].bound = 4
