--- a/internal/admission/deployment.go
+++ b/internal/admission/deployment.go
@@ -8,12 +8,11 @@
 	Cores    []float64 // by machine kind
 	Memory   []float64 // MB, by machine kind
 
-	Ranked     bool    // engines heed ranks
-	Grants     bool    // engines heed memory grants
-	LargeGrant float64 // share of an engine's memory that one task gets at the most
-	Swaps      bool    // an engine short of memory lets tasks in and slows down
-	TellsCost  bool    // answers tell work and memory
-	Cancels    bool    // hand-offs can be called off
+	Ranked     bool // engines heed ranks
+	Grants     bool // engines heed memory grants
+	Swaps      bool // an engine short of memory lets tasks in and slows down
+	TellsCost  bool // answers tell work and memory
+	Cancels    bool // hand-offs can be called off
 	Probes     bool
 	ProbePrice float64 // for one probe a task
 	MaxTries   int     // hand-offs of one task
@@ -50,5 +49,4 @@
 // Tenant has a share of the service.
 type Tenant struct {
 	Share float64
-	Quota float64 // tasks a second within its share, over all routers
 }
--- a/internal/simwire/boot.go
+++ b/internal/simwire/boot.go
@@ -107,7 +107,6 @@
 		Memory:     s.nums("familyInfo", "sizeMb"),
 		Ranked:     s.flag("familyInfo", "lanesCount"),
 		Grants:     s.flag("familyInfo", "grants"),
-		LargeGrant: s.num("familyInfo", "largestShare"),
 		Swaps:      s.at("familyInfo", "whenShort") == "swap",
 		TellsCost:  s.flag("familyInfo", "saysCost"),
 		Cancels:    s.flag("limits", "cancel"),
@@ -162,7 +161,6 @@
 	for i := range s.list("projects") {
 		d.Tenants = append(d.Tenants, admission.Tenant{
 			Share: s.num("projects", i, "fraction"),
-			Quota: s.num("projects", i, "quotaPerS"),
 		})
 	}
 	if len(d.Lanes) == 0 && s.err == nil {
