Clean-up: one limit on hand-offs, trust once a draw, one way to forget a key

The limit on hand-offs stood in three places, an engine's trust was worked out three times a draw and its state checked twice, a timer condition had a half that the other implies, and a script was written twice. Two comments said less than what is so.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -36,7 +36,7 @@
 	step           float64 // threads of one query: the mean declared for our lanes
 	takes          []span  // tasks taken and further hand-offs, for the ration
 	pace           Time    // between probes of an engine
-	taken          float64 // tasks a second, as seen
+	taken          float64 // tasks of the last ten seconds or so, fading
 	bar, bestPrice float64 // least price of a task taken on, as a part of the best lane's
 	askAt          Time    // when to ask for the list again; 0: not
 	wanted         Time    // when a held task was last given up for want of room
@@ -179,7 +179,7 @@
 // task has used up half of the time for which holding it makes sense, and falls otherwise. In an order by
 // earnings, short cheap lanes would starve behind a standing queue of long dear ones, and what is held
 // longest would run too late to earn; so under overload what earns least for its work is given up at once.
-// Harm: where a lane's estimates are far too high, it is shed before others.
+// Harm: where a lane's estimates are off beyond what its answers correct, it is shed before others.
 func (r *Router) moveBar(starving bool) {
 	const rise, fall = 1.06, 0.97     // a tick: doubled in a quarter of a second, halved in twice that
 	const lowest, highest = 0.02, 1.5 // of the best lane's price, whose usual tasks pass all the same
@@ -237,13 +237,15 @@
 	least := r.leastDistrust()
 	for i := range r.engines {
 		e := &r.engines[i]
-		if !r.open(e, least) || !r.mayUse(t, e) {
+		over := r.score(e) - least
+		trust := math.Exp2(-over)
+		if over >= shut || !open(e, trust) || !r.mayUse(t, e) {
 			continue
 		}
 		// A square sets engines apart clearly while a few per cent of noise in reports matters little;
 		// one that reports itself full keeps a small chance, so that an old report doesn't shut it out.
 		const steep, floor = 2, 0.05
-		w := e.cores * math.Pow(max(floor, 1.1-r.load(e)), steep) * r.trust(e, least) * r.suits(t, e)
+		w := e.cores * math.Pow(max(floor, 1.1-r.load(e)), steep) * trust * r.suits(t, e)
 		if int32(i) == t.engine {
 			w *= floor // a further hand-off rather goes elsewhere
 		}
@@ -284,21 +286,18 @@
 	return e.running / max(1, e.bound)
 }
 
-// open tells whether an engine has room under its bound. Distrust narrows it, down to nothing.
-func (r *Router) open(e *engine, least float64) bool {
-	if e.State != Live || r.score(e)-least >= shut {
-		return false
-	}
+// open tells whether an engine has room under its bound, which distrust narrows.
+func open(e *engine, trust float64) bool {
 	if e.bound < 1 {
 		return e.running == 0 && e.lucky
 	}
-	return e.running < e.bound*r.trust(e, least)
+	return e.running < e.bound*trust
 }
 
 // mayTry is the part of the rules that doesn't depend on the engine: one hand-off at a time, none after the
 // end, the order of keys, the most hand-offs of a task, the ration of further ones.
 func (r *Router) mayTry(t *task) bool {
-	if t.out || t.gone || r.now >= t.cutoff || (r.d.MaxTries > 0 && t.tries >= r.d.MaxTries) {
+	if t.out || t.gone || r.now >= t.cutoff || r.spent(t) {
 		return false
 	}
 	if t.key != "" {
@@ -309,6 +308,9 @@
 	return r.mayRepeat(t) && (t.tries == 0 || r.rationed())
 }
 
+// spent tells whether a task has had all its hand-offs.
+func (r *Router) spent(t *task) bool { return r.d.MaxTries > 0 && t.tries >= r.d.MaxTries }
+
 // mayRepeat tells whether the task's lane allows a hand-off to any engine at all.
 func (r *Router) mayRepeat(t *task) bool {
 	l := &r.d.Lanes[t.lane]
@@ -475,7 +477,7 @@
 
 // worthHolding tells whether a task can still be handed off in time.
 func (r *Router) worthHolding(t *task) bool {
-	return r.now < r.latest(t) && r.mayRepeat(t) && (r.d.MaxTries == 0 || t.tries < r.d.MaxTries)
+	return r.now < r.latest(t) && r.mayRepeat(t) && !r.spent(t)
 }
 
 // latest is until when holding a task has a useful chance: started then, it is answered within its quoted
@@ -590,7 +592,7 @@
 	}
 	t := &r.tasks[i]
 	if news != Progress || !t.out || t.gone || t.tries != n+1 || !r.d.Cancels || t.drawn ||
-		r.d.Lanes[t.lane].Effect != Idempotent || r.d.MaxTries > 0 && t.tries >= r.d.MaxTries {
+		r.d.Lanes[t.lane].Effect != Idempotent || r.spent(t) {
 		return
 	}
 	// A bad plan is drawn anew at each hand-off. One that will take this many usual runs more is called off,
@@ -754,8 +756,6 @@
 	return least
 }
 
-func (r *Router) trust(e *engine, least float64) float64 { return math.Exp2(least - r.score(e)) }
-
 // Due is the timer: probes, steps where no report comes, the chance at a bound of zero, tasks given up.
 func (r *Router) Due(now Time) {
 	r.now = now
@@ -784,7 +784,7 @@
 			e.probing, e.probedAt = true, now
 			r.host.Probe(e.Engine)
 		}
-		if now-max(e.reportAt, e.steppedAt) >= stale/3 && now-e.reportAt >= stale {
+		if now-e.reportAt >= stale && now-e.steppedAt >= stale/3 {
 			r.stepBound(e, r.signal(e))
 		}
 	}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -262,13 +262,7 @@
 	},
 	"estimates too low": func() *script { // incident: work three times over its estimate is no jam by itself
 		s := start(deployment(), "e1")
-		for i := range 40 {
-			id := TaskID(fmt.Sprint("t", i))
-			s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, 30*Millisecond)
-			s.at += 150 * Millisecond
-			s.Ended(s.at, id, Delivered, true, 0, 0, NoReport)
-		}
-		s.out.Reset()
+		s.answer(40, 30*Millisecond, 150*Millisecond)
 		s.task("a", 0, 30*Millisecond, "")
 		s.at += 200 * Millisecond
 		s.probed("e1", Delivered, Report{-1, 0.2})
@@ -277,13 +271,7 @@
 	},
 	"estimates too high": func() *script { // incident: a lane told twice its work is not shed for it
 		s := start(deployment(), "e1")
-		for i := range 20 {
-			id := TaskID(fmt.Sprint("t", i))
-			s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, 200*Millisecond)
-			s.at += 100 * Millisecond
-			s.Ended(s.at, id, Delivered, true, 0, 0, NoReport)
-		}
-		s.out.Reset()
+		s.answer(20, 200*Millisecond, 100*Millisecond)
 		s.say("price over that of the work told: %.2f", s.price(0, 1)/s.d.Lanes[0].Earnings)
 		return s
 	},
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -86,6 +86,17 @@
 	s.Ended(s.at, id, how, how == Delivered, 0, 0, NoReport)
 }
 
+// answer lets n tasks of lane 0, told at one length, be delivered after another; the trace starts behind them.
+func (s *script) answer(n int, told, took Time) {
+	for i := range n {
+		id := TaskID(fmt.Sprint("t", i))
+		s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, told)
+		s.at += took
+		s.Ended(s.at, id, Delivered, true, 0, 0, NoReport)
+	}
+	s.out.Reset()
+}
+
 func (s *script) probed(e EngineID, how Outcome, report Report) {
 	s.Probed(s.at, e, how, report)
 	i := &s.engines[s.named[e]]
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -109,10 +109,15 @@
 		return // drop forgets them at once
 	}
 	for key, turn := range r.turns {
-		if len(turn.line) == 0 && turn.rest <= r.now {
-			r.spare = append(r.spare, turn.line)
-			delete(r.turns, key)
-		}
+		r.forgetRested(key, turn)
+	}
+}
+
+// forgetRested forgets a key that has no task and no rest before it, and keeps its line for another.
+func (r *Router) forgetRested(key string, turn turn) {
+	if len(turn.line) == 0 && turn.rest <= r.now {
+		r.spare = append(r.spare, turn.line)
+		delete(r.turns, key)
 	}
 }
 
@@ -126,10 +131,8 @@
 		k := slices.Index(turn.line, i)
 		turn.line = slices.Delete(turn.line, k, k+1)
 		r.turns[t.key] = turn
-		if len(turn.line) == 0 && turn.rest <= r.now {
-			r.spare = append(r.spare, turn.line)
-			delete(r.turns, t.key)
-		} else if k == 0 && len(turn.line) > 0 {
+		r.forgetRested(t.key, turn)
+		if k == 0 && len(turn.line) > 0 {
 			r.hold(turn.line[0])
 		}
 	}
