--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -35,10 +35,13 @@
 	seq            uint64
 	step           float64 // threads of one query: the mean declared for our lanes
 	takes          []span  // tasks taken and further hand-offs, for the ration
-	pace           Time    // between probes of an engine
-	taken          float64 // tasks of the last ten seconds or so, fading
+	credit         float64 // probes that the tasks taken have paid for
+	ran, asked     float64 // thread time of tasks that ended lately, and the work they asked for
+	usual          float64 // work of a task
+	busy           float64 // of engines by their latest reports: what one without a fresh report counts as
 	bar, bestPrice float64 // least price of a task taken on, as a part of the best lane's
 	askAt          Time    // when to ask for the list again; 0: not
+	ticked         Time    // when the timer last went off
 	wanted         Time    // when a held task was last given up for want of room
 }
 
@@ -49,13 +52,15 @@
 func New(now Time, seed int64, d *Deployment, host Host) *Router {
 	r := &Router{host: host, d: d, rng: rand.New(rand.NewSource(seed)), now: now, byID: map[TaskID]int32{},
 		turns: map[string]turn{}, named: map[EngineID]int32{}, lanes: make([]learned, len(d.Lanes)),
-		used: make([]float64, max(1, len(d.Tenants))), pace: slowestProbe, wanted: now - Second}
+		used: make([]float64, max(1, len(d.Tenants))), busy: 0.5, credit: mostCredit,
+		ticked: now, wanted: now - Second}
 	for i := range d.Lanes {
 		l := &d.Lanes[i]
+		r.ran += float64(l.Quoted)
 		r.step += float64(l.Threads) / float64(len(d.Lanes))
 		r.ladder = append(r.ladder, i)
-		// Until answers tell, a task is taken to use up its quoted time: rather too much than too little.
-		r.lanes[i] = learned{run: float64(l.Quoted), work: float64(l.Quoted) * float64(l.Threads), rank: 1}
+		run := float64(l.Quoted) / 3 // until answers tell: users quote with room to wait
+		r.lanes[i] = learned{run: run, work: run * float64(l.Threads), rank: 1}
 	}
 	slices.SortStableFunc(r.ladder, func(a, b int) int {
 		return cmp.Compare(d.Lanes[b].Earnings, d.Lanes[a].Earnings)
@@ -63,10 +68,14 @@
 	for n := range r.used {
 		r.tenants = append(r.tenants, n)
 	}
+	r.asked = r.ran
 	r.queues = make([][]int32, len(r.used)*len(d.Lanes))
 	if d.ExtraSpan > 0 {
 		r.takes = make([]span, spans+1)
 	}
+	if !d.Probes {
+		r.credit = math.Inf(-1)
+	}
 	if d.Asks {
 		host.Subscribe()
 	}
@@ -96,15 +105,16 @@
 		restarted := known && l.Since > e.Since
 		e.Listing, e.listed = l, true
 		if !known || restarted {
-			e.cores = 1
-			if l.Kind >= 0 && l.Kind < len(r.d.Cores) {
+			if e.cores = 1; l.Kind >= 0 && l.Kind < len(r.d.Cores) {
 				e.cores = max(1, r.d.Cores[l.Kind])
 			}
 			if e.size = math.Inf(1); l.Kind >= 0 && l.Kind < len(r.d.Memory) {
 				e.size = r.d.Memory[l.Kind]
 			}
-			e.bound, e.distrust, e.report = r.startBound(e), 0, NoReport
-			e.reportAt, e.probedAt, e.cold = now, now-slowestProbe, e.cold[:0]
+			// Two threads a core over the gateways, the signal's own threshold: in a large fleet below a query.
+			e.bound = threshold * e.cores / float64(r.d.Gateways)
+			e.distrust, e.report, e.reportAt = 0, NoReport, now
+			e.probedAt = now - fastestProbe - Time(r.rng.Int63n(int64(Second))) // each router in its own order
 		}
 	}
 	for i := range r.engines {
@@ -115,16 +125,6 @@
 	r.release()
 }
 
-// startBound is an engine's first bound: the signal's threshold in threads a core, shared by the gateways;
-// a cold engine gets its share of that.
-func (r *Router) startBound(e *engine) float64 {
-	b := threshold * e.cores / float64(r.d.Gateways)
-	if r.isCold(e) {
-		b *= r.d.ColdShare
-	}
-	return max(1, math.Round(b))
-}
-
 // Arrived takes a task from a client. From here on it is owed one final answer.
 func (r *Router) Arrived(now Time, id TaskID, cutoff Time, lane, tenant int, key string, tables int,
 	work Time) {
@@ -134,7 +134,8 @@
 	}
 	l := &r.d.Lanes[lane]
 	r.seq++
-	r.taken++
+	r.credit = min(mostCredit, r.credit+probeBudget/max(probeBudget/mostCredit, r.d.ProbePrice))
+	r.usual += 0.05 * (r.lanes[lane].work - r.usual)
 	i := r.seat(task{id: id, lane: lane, tenant: tenant, tables: tables, arrived: now, cutoff: cutoff,
 		work: work, seq: r.seq, engine: none, rank: 1})
 	t := &r.tasks[i]
@@ -155,7 +156,8 @@
 		}
 	}
 	r.hold(i)
-	if p := r.price(lane, length); p < 0.99*r.bestPrice && p*r.spread(work) < r.bar*r.bestPrice {
+	r.look()
+	if p := r.price(lane, length); p < 0.99*r.bestPrice && p < r.bar*r.bestPrice {
 		r.wanted = now
 		r.giveUp(i)
 		return
@@ -166,20 +168,10 @@
 	}
 }
 
-// spread sets tasks of unknown length apart by chance, so that a rising bar takes a lane's tasks bit by bit.
-// Its width is a factor of eight; four and sixteen did no better.
-func (r *Router) spread(work Time) float64 {
-	if work > 0 {
-		return 1
-	}
-	return math.Exp2(3*r.rng.Float64() - 1.5)
-}
-
 // moveBar sets the least price, in earnings for work, at which tasks are taken on. It rises while some held
-// task has used up half of the time for which holding it makes sense, and falls otherwise. In an order by
-// earnings, short cheap lanes would starve behind a standing queue of long dear ones, and what is held
-// longest would run too late to earn; so under overload what earns least for its work is given up at once.
-// Harm: where a lane's estimates are off beyond what its answers correct, it is shed before others.
+// task has used up half of its useful time, and falls otherwise: in an order by earnings short cheap lanes
+// would starve behind a queue of long dear ones, and what is held longest would run too late to earn. Harm:
+// where a lane's estimates are off beyond what its answers correct, it is shed before others.
 func (r *Router) moveBar(starving bool) {
 	const rise, fall = 1.06, 0.97     // a tick: doubled in a quarter of a second, halved in twice that
 	const lowest, highest = 0.02, 1.5 // of the best lane's price, whose usual tasks pass all the same
@@ -203,27 +195,20 @@
 	}
 	for _, tenant := range r.tenants {
 		for _, lane := range r.ladder {
-			if r.releaseFrom(r.queues[tenant*len(r.d.Lanes)+lane]) {
-				return true
+			for _, i := range r.queues[tenant*len(r.d.Lanes)+lane] {
+				t := &r.tasks[i]
+				if e := r.draw(t); e != none && r.handOff(i, e) {
+					return true
+				}
+				if t.tries == 0 && t.key == "" {
+					break // what follows it in this lane has no more choice than this one
+				}
 			}
 		}
 	}
 	return false
 }
 
-func (r *Router) releaseFrom(q []int32) bool {
-	for _, i := range q {
-		t := &r.tasks[i]
-		if e := r.draw(t); e != none && r.handOff(i, e) {
-			return true
-		}
-		if t.tries == 0 && t.key == "" {
-			break // what follows it in this lane has no more choice than this one
-		}
-	}
-	return false
-}
-
 // use is a tenant's threads running over its share.
 func (r *Router) use(n int) float64 { return r.used[n] / max(0.001, r.d.Tenants[n].Share) }
 
@@ -239,11 +224,10 @@
 		e := &r.engines[i]
 		over := r.score(e) - least
 		trust := math.Exp2(-over)
-		if over >= shut || !open(e, trust) || !r.mayUse(t, e) {
+		if over >= shut || !r.mayUse(t, e) || !r.open(e, t, trust) {
 			continue
 		}
-		// A square sets engines apart clearly while a few per cent of noise in reports matters little;
-		// one that reports itself full keeps a small chance, so that an old report doesn't shut it out.
+		// A square sets engines apart, noise in reports hardly; one that reports itself full keeps a chance.
 		const steep, floor = 2, 0.05
 		w := e.cores * math.Pow(max(floor, 1.1-r.load(e)), steep) * trust * r.suits(t, e)
 		if int32(i) == t.engine {
@@ -257,16 +241,12 @@
 	return pick
 }
 
-// suits weighs an engine by the tables that a task reads. Engines keep what they read last warm, and a load
-// holds its tables on its engine against others. From the ids of engine and tables alone every gateway finds
-// the same third of engines for a group's reads and another third for its loads, without a word between them.
-// It is a weight: a busy engine still loses the draw. Harm: where one group is most of the traffic.
+// suits weighs an engine by the tables that a task reads: engines keep what they read last warm, and a load
+// holds its tables against others. From the ids alone every gateway finds the same third of engines for a
+// group's reads and another third for its loads. Harm: where one group is most of the traffic.
 func (r *Router) suits(t *task, e *engine) float64 {
 	const strong = 4 // 2 warms less, 8 crowds the same few engines
 	l := &r.d.Lanes[t.lane]
-	if (l.Load || l.HeldByLoads) && slices.Contains(e.loads, t.tables) {
-		return 1.0 / strong / strong // our own load holds them there now: worse than another's that may
-	}
 	h := (e.hash ^ uint32(t.tables)*2654435761) * 2246822519
 	side := (h ^ h>>15) * 3266489917 >> 16 % 3
 	switch {
@@ -278,22 +258,54 @@
 	return 1
 }
 
-// load is the share of an engine that is busy as far as we know.
+// load is the share of an engine that is busy as far as we know. One without a fresh report counts as those
+// did that we heard of last: our own threads there tell nothing where our part of it is less than a query.
 func (r *Router) load(e *engine) float64 {
-	if e.report.Util >= 0 && r.now-e.reportAt < stale {
-		return e.report.Util + e.since/e.cores
+	if r.fresh(e) {
+		return r.told(e) + e.since/e.cores
 	}
-	return e.running / max(1, e.bound)
+	return r.busy + e.running/e.cores
 }
 
-// open tells whether an engine has room under its bound, which distrust narrows.
-func open(e *engine, trust float64) bool {
-	if e.bound < 1 {
-		return e.running == 0 && e.lucky
+// fresh tells whether an engine's report says something of now.
+func (r *Router) fresh(e *engine) bool { return e.report != NoReport && r.now-e.reportAt < stale }
+
+// told is the busy share that an engine reports: of its cores, or of the queries that the threshold allows
+// it.
+func (r *Router) told(e *engine) float64 {
+	if e.report.Held >= 0 {
+		return e.report.Held / e.cores * r.step / threshold
 	}
-	return e.running < e.bound*trust
+	if r.d.TellsCost { // cores idle under tasks that wait for disks, memory or loads, which then take long
+		return e.util * max(1, r.ran/r.asked)
+	}
+	return e.util
 }
 
+// open tells whether an engine has room under its bound, which distrust narrows. At zero one query may go if
+// none of ours runs there, with a chance of one over the gateways each tick. This tick is the time that the
+// engine needs for the task's usual work, shorter the less of the engine is busy: all gateways together let
+// in what it can take, however many they are. A cold engine's turns stand in for the chance.
+func (r *Router) open(e *engine, t *task, trust float64) bool {
+	if e.bound >= 1 {
+		return e.running < e.bound*trust
+	}
+	if e.running > 0 || r.isCold(e) {
+		return e.running == 0
+	}
+	work := r.lanes[t.lane].work
+	need := e.luck * work / (e.cores * trust * r.suits(t, e))
+	if r.credit >= 1 && work >= r.usual && r.now-e.probedAt >= fastestProbe && need < 2*eager(r.busy) {
+		r.probe(e) // a long task placed wrongly costs more than a look at its engine first
+	}
+	return !e.probing && need < eager(r.load(e))
+}
+
+// eager is how many times an engine's work all gateways together may let in at zero by its busy share: as
+// much as it can do at three quarters, far more on an idle fleet, where a task should not wait for its
+// chance, and still some on one that reports itself full, so that an old report doesn't shut it out.
+func eager(busy float64) float64 { return max(0.06, 3*(1-busy)/(0.1+busy)) }
+
 // mayTry is the part of the rules that doesn't depend on the engine: one hand-off at a time, none after the
 // end, the order of keys, the most hand-offs of a task, the ration of further ones.
 func (r *Router) mayTry(t *task) bool {
@@ -335,22 +347,21 @@
 func (r *Router) isCold(e *engine) bool { return e.Since > 0 && r.now < e.Since+r.d.WarmAfter }
 
 // coldRoom tells whether a cold engine can be sent some work. All routers together may send a multiple of its
-// present capacity, of which only the least is known; each takes an equal part. Half of that is used: engines
-// are slower than their cores tell, and a lane's usual work is learned. A part too small for one task lets
-// one through in a span if the part itself holds it.
+// present capacity, of which only the least is known. A part for each would be less than a task where there
+// are many; so they take turns by their numbers, a span each with a span of rest, so that no span sees two of
+// them. Half of the budget is used: engines are slower than their cores tell, and a lane's usual work is
+// learned.
 func (r *Router) coldRoom(e *engine, work float64) bool {
 	const careful = 0.5
-	part := r.d.TipFactor * r.d.ColdShare * e.cores * float64(r.d.TipAfter) / float64(r.d.Gateways)
-	gone, sum := 0, 0.0
-	for _, s := range e.cold {
-		if s.at+r.d.TipAfter < r.now {
-			gone++
-		} else {
-			sum += s.work
-		}
+	turn := r.now / (2 * r.d.TipAfter)
+	begun := turn * 2 * r.d.TipAfter
+	if (turn+Time(e.hash))%Time(r.d.Gateways) != Time(r.d.Me) || r.now-begun >= r.d.TipAfter {
+		return false
+	}
+	if e.coldAt != turn {
+		e.coldAt, e.cold = turn, 0
 	}
-	e.cold = append(e.cold[:0], e.cold[gone:]...)
-	return sum+work <= part*careful || sum == 0 && work <= part*0.8
+	return e.cold+work <= careful*r.d.TipFactor*r.d.ColdShare*e.cores*float64(r.d.TipAfter)
 }
 
 // The ration's window is counted in this many spans; one more is kept, so that whole spans cover the window.
@@ -391,16 +402,13 @@
 	t.out, t.engine, t.sentAt = true, to, r.now
 	t.tries++
 	if r.isCold(e) {
-		e.cold = append(e.cold, sent{r.now, learned.work})
+		e.cold += learned.work
 	}
 	t.memory = learned.memory
 	e.memory += t.memory
 	e.running += threads
 	e.since += threads
-	e.lucky = false
-	if l.Load {
-		e.loads = append(e.loads, t.tables)
-	}
+	e.luck = math.Inf(1)
 	r.used[t.tenant] += threads
 	grant := 0.0
 	if r.d.Grants && r.d.Swaps && learned.memory > 0 {
@@ -413,13 +421,13 @@
 		t.rank = rank
 		r.host.Terms(t.id, grant, rank)
 	}
-	patience := t.cutoff - r.now
+	t.until = t.cutoff
 	if r.d.Cancels {
 		// Past the quoted time a task is let run for the part of its time that matches what it still earns;
 		// an engine that stops work at a time-out is freed for others. Guards against jams that feed themselves.
-		patience = min(patience, max(t.quoted-r.now, 1)+Time(l.LateShare*float64(t.cutoff-t.quoted)))
+		t.until = min(t.cutoff, max(t.quoted, r.now+1)+Time(l.LateShare*float64(t.cutoff-t.quoted)))
 	}
-	r.host.HandOff(t.id, e.Engine, patience)
+	r.host.HandOff(t.id, e.Engine, t.until-r.now)
 	return true
 }
 
@@ -435,9 +443,8 @@
 	e, l := &r.engines[t.engine], &r.d.Lanes[t.lane]
 	threads := float64(l.Threads)
 	t.out = false
-	if k := slices.Index(e.loads, t.tables); l.Load && k >= 0 {
-		e.loads = slices.Delete(e.loads, k, k+1)
-	}
+	const fade = 0.95 // some twenty answers
+	r.ran, r.asked = fade*r.ran+float64(now-t.sentAt)*threads, fade*r.asked+r.cost(t, work)
 	e.running -= threads
 	e.memory -= t.memory
 	r.used[t.tenant] -= threads
@@ -452,7 +459,7 @@
 	case Errored:
 		r.doubt(e, 0.5)
 	case Full:
-		r.stepBound(e, threshold)
+		r.stepBound(e, threshold, Second)
 	}
 	if how != Delivered && !how.NeverRan() {
 		if !t.mayRan {
@@ -467,7 +474,7 @@
 	r.reported(t.engine, load)
 	if over || t.gone {
 		r.drop(i)
-	} else if how == Moot || !r.worthHolding(t) {
+	} else if how == Moot || now >= r.latest(t) || !r.mayRepeat(t) || r.spent(t) {
 		r.giveUp(i)
 	} else {
 		r.hold(i)
@@ -475,14 +482,8 @@
 	r.release()
 }
 
-// worthHolding tells whether a task can still be handed off in time.
-func (r *Router) worthHolding(t *task) bool {
-	return r.now < r.latest(t) && r.mayRepeat(t) && !r.spent(t)
-}
-
 // latest is until when holding a task has a useful chance: started then, it is answered within its quoted
-// time if it runs as its lane usually does. Holding it longer would make all behind it late as well. It is
-// always answered before its cut-off.
+// time if it runs as its lane usually does. It is always answered before its cut-off.
 func (r *Router) latest(t *task) Time {
 	usual := r.lanes[t.lane].run
 	if t.work > 0 {
@@ -521,8 +522,7 @@
 	}
 }
 
-// The usual run follows the engines' state, some twenty answers back; work and memory are the lane's own and
-// widely spread, so they are means of a few hundred.
+// The usual run follows the engines' state, some twenty answers back; work and memory are means of hundreds.
 const recent, many = 0.05, 300
 
 // learn takes a delivered task into its lane's usual figures.
@@ -532,11 +532,8 @@
 	l.answers = min(l.answers+1, many)
 	l.run += max(recent, 1/l.answers) * (run - l.run)
 	l.memory += 1 / l.answers * (memory - l.memory)
-	cost := float64(t.work)
+	cost := r.cost(t, work)
 	if t.work == 0 {
-		if cost = float64(work); !r.d.TellsCost {
-			cost = run * threads
-		}
 		r.learnWork(l, cost)
 	}
 	// How many times its work a task takes where nothing is crowded: it falls with the answers and hardly rises.
@@ -547,6 +544,18 @@
 	}
 }
 
+// cost is a task's work, as its answer tells, else as estimated.
+func (r *Router) cost(t *task, work Time) float64 {
+	switch run := float64(r.now-t.sentAt) * float64(r.d.Lanes[t.lane].Threads); {
+	case work > 0 || t.work > 0:
+		return float64(max(work, t.work))
+	case r.d.TellsCost:
+		return min(run, r.lanes[t.lane].work)
+	default:
+		return run
+	}
+}
+
 // learnWork takes a task's work into its lane's mean: estimates when tasks come, since what is answered under
 // a bar is no fair sample, else what answers tell.
 func (r *Router) learnWork(l *learned, work float64) {
@@ -565,20 +574,15 @@
 }
 
 // rankLanes orders lanes by earnings for the work they take. Shares go up by steps of two to four, so a lane
-// with half the price gets the next lower rank.
+// with half of the best price gets the next lower rank.
 func (r *Router) rankLanes() {
 	r.bestPrice = 0
 	for i := range r.lanes {
 		r.bestPrice = max(r.bestPrice, r.price(i, r.lanes[i].work))
 	}
 	for i := range r.lanes {
-		switch v := r.price(i, r.lanes[i].work) / r.bestPrice; {
-		case !r.d.Ranked || v < 0.35:
-			r.lanes[i].rank = 1
-		case v < 0.7:
-			r.lanes[i].rank = 2
-		default:
-			r.lanes[i].rank = 3
+		if l := &r.lanes[i]; r.d.Ranked {
+			l.rank = 1 + min(2, int(r.price(i, l.work)/r.bestPrice/0.35))
 		}
 	}
 }
@@ -591,16 +595,16 @@
 		return
 	}
 	t := &r.tasks[i]
-	if news != Progress || !t.out || t.gone || t.tries != n+1 || !r.d.Cancels || t.drawn ||
+	if news != Progress || !t.out || t.gone || t.tries != n+1 || !r.d.Cancels ||
 		r.d.Lanes[t.lane].Effect != Idempotent || r.spent(t) {
 		return
 	}
-	// A bad plan is drawn anew at each hand-off. One that will take this many usual runs more is called off,
-	// once a task: what is slow again is long by itself. Harm: work done for nothing where it was long.
-	const badPlan = 4 // far above the spread of a lane's work; 2.5 and 6 did no better
-	run, left := r.lanes[t.lane].run, float64(now-t.sentAt)*(1-value)/max(value, 0.001)
-	if left > badPlan*run && t.cutoff-now > Time(run) {
-		t.drawn = true
+	// What by its progress needs nearly all that is left of its patience, or more, is called off: it would end
+	// in a time-out, and hold room till then. Guards against bad plans, drawn anew at each hand-off, engines
+	// that slow down or swap, and loads in the way. Harm: work done for nothing where it would have sped up
+	// again.
+	const hopeless = 0.8 // progress is rough; 1 did as well, 1.5 let more engines jam
+	if left := float64(now-t.sentAt) * (1 - value) / max(value, 0.001); left > hopeless*float64(t.until-now) {
 		r.host.Cancel(id, n)
 	}
 }
@@ -611,7 +615,7 @@
 // signal is how loaded an engine is, in units of the threshold. Where it reports no held queries, its
 // utilisation stands in; where it reports nothing, our own held count there does, for all gateways.
 func (r *Router) signal(e *engine) float64 {
-	const high, low, still = 0.9, 0.45, 0.75 * threshold
+	const high, low, still, halfPart = 0.9, 0.45, 0.75 * threshold, 0.5
 	own := e.running - e.since
 	signal := still
 	switch {
@@ -621,56 +625,70 @@
 		signal = e.report.Held / e.cores * r.step
 	case e.util > high:
 		return threshold
-	case own*float64(r.d.Gateways) >= e.cores && e.overdue >= crowded*own:
-		// Cores that idle while most of what we have there, a thread a core or more, runs far longer than its
-		// work asks for are no room: tasks wait for disks, memory or loads, and a step up would crowd them more.
-		// Harm: below a thread a core a few long tasks would look the same, so there it must not act.
-		return threshold
 	case e.memory*float64(r.d.Gateways) > halfPart*e.size:
 		// No room either, though cores idle: what our hand-offs there need is half of our equal part of the
-		// memory. Needs scatter widely and the others' are not seen, so half a part is taken for full.
+		// memory, which is taken for full as needs scatter: more came too late, less held back sound engines.
 		return still
 	case e.util <= low:
 		return 0
 	}
 	if signal < threshold && r.now-r.wanted < Second && own*float64(r.d.Gateways) < threshold*e.cores {
 		// An exception to the still band: while held tasks are given up for want of room and our own count is
-		// under our part of the threshold, room is taken. The band is wide, and a bound stepped down in a burst
-		// would stay there; and a gateway that came to less than its part would. Harm: where a shortage hides.
+		// under our part of the threshold, room is taken: the band is wide, and a bound stepped down in a burst,
+		// or a gateway that came to less than its part, would stay there. Harm: where a shortage hides.
 		return 0
 	}
 	return signal
 }
 
-// What tells a crowded engine: half of our threads overdue, or half of our part of its memory needed. More of
-// either came too late to keep engines from swapping, less held back sound ones.
-const crowded, halfPart = 0.5, 0.5
-
 // stepBound is the step rule of the paper's CPULoad, one query at a time: down at the threshold unless none
-// is in use, up at half of it or less with every slot in use, and still between. The floor is zero. An engine
-// hears all gateways at once: each takes a step up only with the chance that the design gives it at zero, so
-// that together they add about one query a report. Harm: a lone busy gateway climbs more slowly.
-func (r *Router) stepBound(e *engine, signal float64) {
+// is in use, up at half of it or less with every slot in use, and still between. The floor is zero. A step up
+// is taken with chance one over the gateways that hear the engine in the second that a step takes to show,
+// each as often as we: together they add about one query. Harm: a lone busy gateway climbs more slowly.
+func (r *Router) stepBound(e *engine, signal float64, heard Time) {
 	if signal >= threshold {
 		if e.running > 0 {
 			e.bound = max(0, e.bound-r.step)
 		}
-	} else if signal <= threshold/2.0 && e.running >= e.bound && r.rng.Float64()*float64(r.d.Gateways) < 1 {
+	} else if signal <= threshold/2.0 && e.running >= e.bound &&
+		r.rng.Float64()*float64(r.d.Gateways)*min(1, float64(Second)/float64(heard)) < 1 {
 		e.bound += r.step
 	}
 	e.steppedAt = r.now
 }
 
-// Probes are paced so that their price stays under probeBudget of the service (a figure too small to see in
-// it), within what keeps a signal useful: no more often than reports are commonly made anew, no less often
-// than an engine's load turns over.
+// Probes are paid for by the tasks taken: their price stays at probeBudget of the service, too small to be
+// seen in it, however many gateways there are, and reports come when there is something to hand off.
 const (
-	probeBudget  = 0.003
+	probeBudget  = 0.005
+	mostCredit   = 8.0 // a stalled router doesn't probe for all that came meanwhile
 	fastestProbe = 200 * Millisecond
-	slowestProbe = 1 * Second
 	stale        = 3 * Second // a report that has not changed for so long says nothing of now
 )
 
+// look probes the engine unseen for longest, no more often than reports are commonly made anew, while there
+// is credit to spare.
+func (r *Router) look() {
+	for r.credit >= mostCredit/2 {
+		next, oldest := none, r.now-fastestProbe+1
+		for i := range r.engines {
+			if e := &r.engines[i]; e.State == Live && !e.probing && e.probedAt < oldest {
+				next, oldest = int32(i), e.probedAt
+			}
+		}
+		if next == none {
+			return
+		}
+		r.probe(&r.engines[next])
+	}
+}
+
+func (r *Router) probe(e *engine) {
+	r.credit--
+	e.probing, e.probedAt = true, r.now
+	r.host.Probe(e.Engine)
+}
+
 // Probed takes in the result of a probe.
 func (r *Router) Probed(now Time, name EngineID, how Outcome, report Report) {
 	r.now = now
@@ -695,33 +713,28 @@
 	if report == NoReport || report == e.report {
 		return
 	}
-	if e.report.Util < 0 {
-		e.util = report.Util
+	heard := now - e.reportAt
+	if e.report == NoReport {
+		heard, e.util = Second, report.Util
 	}
-	e.util += 0.3 * (report.Util - e.util) // some three reports make the figure: one is noisy
+	// Some three reports make the figure, as one is noisy; one that comes after a long time stands alone.
+	e.util += min(1, max(0.3, float64(heard)/float64(stale))) * (report.Util - e.util)
 	e.report, e.reportAt = report, now
-	e.sinceAt, e.since, e.overdue = now-r.pace, 0, 0
+	r.busy += 0.2 * (min(1, r.told(e)) - r.busy)
+	const age = 400 * Millisecond // of what a report tells, by and large: made now and then, and under way
+	e.sinceAt, e.since = now-age, 0
 	for k := range r.tasks {
-		t := &r.tasks[k]
-		if !t.out || t.engine != i {
-			continue
-		}
-		const far = 4 // times the usual: in lanes widely spread, few tasks are that long by themselves
-		l := &r.lanes[t.lane]
-		threads := float64(r.d.Lanes[t.lane].Threads)
-		if t.sentAt >= e.sinceAt {
-			e.since += threads
-		} else if float64(now-t.sentAt)*threads > far*max(l.work, float64(t.work))*max(1, l.ease) {
-			e.overdue += threads
+		if t := &r.tasks[k]; t.out && t.engine == i && t.sentAt >= e.sinceAt {
+			e.since += float64(r.d.Lanes[t.lane].Threads)
 		}
 	}
-	r.stepBound(e, r.signal(e))
+	r.stepBound(e, r.signal(e), heard)
 }
 
 // Distrust: failures add to an engine's score, which halves every halfLife; its bound and its weight in the
-// draw halve with each point, and at shut it gets nothing. The score counts above the least of the fleet's:
-// what strikes all engines alike condemns none. A broken or refused connection adds 2, so that two in a row
-// shut an engine; a silent probe 1.5, as one may be chance; an error 0.5, as single errors are common.
+// draw halve with each point, and at shut it gets nothing. It counts above the least of the fleet's: what
+// strikes all condemns none. A broken or refused connection adds 2, so that two in a row shut an engine; a
+// silent probe 1.5, as one may be chance; an error 0.5, as single errors are common.
 const (
 	halfLife    = 1500 * Millisecond // a struck engine is back under shut within some three seconds
 	shut        = 3.0
@@ -731,8 +744,7 @@
 func (r *Router) doubt(e *engine, points float64) {
 	e.distrust = min(mostDoubted, r.score(e)+points)
 	e.distrustAt = r.now
-	// Said at most so often for an engine: a person acts on the first line.
-	const again = 10 * Second
+	const again = 10 * Second // a person acts on the first line
 	if e.distrust-r.leastDistrust() >= shut && (e.saidAt == 0 || r.now-e.saidAt >= again) {
 		e.saidAt = r.now
 		r.host.Say(fmt.Sprintf("engine %s distrusted: no new tasks until the score fades", e.Engine))
@@ -759,33 +771,21 @@
 // Due is the timer: probes, steps where no report comes, the chance at a bound of zero, tasks given up.
 func (r *Router) Due(now Time) {
 	r.now = now
-	live := 0.0
-	for i := range r.engines {
-		if r.engines[i].State == Live {
-			live++
-		}
-	}
 	if r.d.Asks && r.askAt > 0 && now >= r.askAt {
 		r.askAt = 0
 		r.host.Subscribe()
 	}
-	// A steady pace keeps the price: probes a second over tasks a second, times their price.
-	r.taken -= r.taken * float64(tick) / float64(10*Second)
-	rate := max(0.1, r.taken/10)
-	r.pace = Time(float64(Second) * live * r.d.ProbePrice / (probeBudget * rate))
-	r.pace = min(max(r.pace, fastestProbe), slowestProbe)
+	r.look()
 	for i := range r.engines {
 		e := &r.engines[i]
 		if e.State != Live {
 			continue
 		}
-		e.lucky = e.bound < 1 && r.rng.Float64()*float64(r.d.Gateways) < 1
-		if r.d.Probes && !e.probing && now-e.probedAt >= r.pace {
-			e.probing, e.probedAt = true, now
-			r.host.Probe(e.Engine)
+		if !e.probing { // what a probe was sent for waits for it
+			e.luck = r.rng.Float64() * float64(r.d.Gateways) / float64(now-r.ticked)
 		}
 		if now-e.reportAt >= stale && now-e.steppedAt >= stale/3 {
-			r.stepBound(e, r.signal(e))
+			r.stepBound(e, r.signal(e), Second)
 		}
 	}
 	starving := false
@@ -801,6 +801,7 @@
 			r.giveUp(int32(i))
 		}
 	}
+	r.ticked = now
 	r.moveBar(starving)
 	r.rankLanes()
 	r.restTurns()
--- a/internal/admission/deployment.go
+++ b/internal/admission/deployment.go
@@ -3,6 +3,7 @@
 // Deployment is what a router is told at start. A rule whose figures are zero is absent.
 type Deployment struct {
 	Gateways int
+	Me       int // the number of this one among them, from 0
 	Lanes    []Lane
 	Tenants  []Tenant
 	Cores    []float64 // by machine kind
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -7,20 +7,20 @@
 
 // task is a task in hand: held, or handed off and without an outcome.
 type task struct {
-	id                       TaskID
-	key                      string
-	lane, tenant, tables     int
-	arrived, cutoff, quoted  Time
-	work                     Time // as estimated; 0: not told
-	seq                      uint64
-	memory                   float64
-	tries                    int
-	out, gone, mayRan, drawn bool // drawn: its plan was drawn anew once already
-	queued                   bool
-	engine                   int32 // of the last hand-off
-	sentAt, doubtAt          Time
-	doubtZone, doubtGroup    int
-	rank                     int
+	id                      TaskID
+	key                     string
+	lane, tenant, tables    int
+	arrived, cutoff, quoted Time
+	work                    Time // as estimated; 0: not told
+	seq                     uint64
+	memory                  float64
+	tries                   int
+	out, gone, mayRan       bool
+	queued                  bool
+	engine                  int32 // of the last hand-off
+	sentAt, until, doubtAt  Time
+	doubtZone, doubtGroup   int
+	rank                    int
 }
 
 // turn is the line of tasks that share a key: the first may be handed off once the key has rested.
@@ -50,25 +50,19 @@
 	running    float64 // threads of our hand-offs without an outcome
 	report     Report
 	util       float64 // reported, smoothed
-	overdue    float64 // threads of our hand-offs that run far longer than usual, at the last report
 	reportAt   Time    // when it last changed
 	sinceAt    Time
 	since      float64 // threads sent since that are still running
 	steppedAt  Time
 	probedAt   Time
 	probing    bool
-	lucky      bool // may get the one query that a bound of zero allows
+	luck       float64 // drawn each tick, for the one query that a bound of zero allows
 	distrust   float64
 	distrustAt Time
-	saidAt     Time   // when its distrust was last logged
-	loads      []int  // tables that our loads hold there
-	hash       uint32 // of its id
-	cold       []sent // hand-offs within the span in which a cold engine can fall over
-}
-
-type sent struct {
-	at   Time
-	work float64
+	saidAt     Time    // when its distrust was last logged
+	hash       uint32  // of its id
+	coldAt     Time    // this router's latest turn at a cold engine
+	cold       float64 // and the work sent in it
 }
 
 // span counts what happened in one part of the ration's window.
--- a/internal/simwire/boot.go
+++ b/internal/simwire/boot.go
@@ -103,6 +103,7 @@
 	}
 	d := &admission.Deployment{
 		Gateways:   max(1, int(s.num("fleetSize"))),
+		Me:         int(s.num("me")),
 		Cores:      s.nums("familyInfo", "kindCores"),
 		Memory:     s.nums("familyInfo", "sizeMb"),
 		Ranked:     s.flag("familyInfo", "lanesCount"),
