--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -60,7 +60,7 @@
 		r.step += float64(l.Threads) / float64(len(d.Lanes))
 		r.ladder = append(r.ladder, i)
 		run := float64(l.Quoted) / 3 // until answers tell: users quote with room to wait
-		r.lanes[i] = learned{run: run, work: run * float64(l.Threads), rank: 1}
+		r.lanes[i] = learned{run: run, work: run * float64(l.Threads), ease: 1, rank: 1}
 	}
 	slices.SortStableFunc(r.ladder, func(a, b int) int {
 		return cmp.Compare(d.Lanes[b].Earnings, d.Lanes[a].Earnings)
@@ -102,9 +102,8 @@
 			i = r.place(l)
 		}
 		e := &r.engines[i]
-		restarted := known && l.Since > e.Since
-		e.Listing, e.listed = l, true
-		if !known || restarted {
+		started := !known || l.Since > e.Since
+		if e.Listing, e.listed = l, true; started {
 			if e.cores = 1; l.Kind >= 0 && l.Kind < len(r.d.Cores) {
 				e.cores = max(1, r.d.Cores[l.Kind])
 			}
@@ -270,16 +269,18 @@
 // fresh tells whether an engine's report says something of now.
 func (r *Router) fresh(e *engine) bool { return e.report != NoReport && r.now-e.reportAt < stale }
 
-// told is the busy share that an engine reports: of its cores, or of the queries that the threshold allows
-// it.
+// told is the busy share that an engine reports: of the queries that the threshold allows it, or of its
+// cores, memory or disks, whichever is scarcest. Cores idle under tasks that wait for the others, which then
+// take long: where answers tell work, the share counts as many times as tasks took of their work lately.
 func (r *Router) told(e *engine) float64 {
 	if e.report.Held >= 0 {
 		return e.report.Held / e.cores * r.step / threshold
 	}
-	if r.d.TellsCost { // cores idle under tasks that wait for disks, memory or loads, which then take long
-		return e.util * max(1, r.ran/r.asked)
+	share := max(e.util, e.report.Memory, e.report.Disks)
+	if r.d.TellsCost {
+		share *= max(1, r.ran/r.asked)
 	}
-	return e.util
+	return share
 }
 
 // open tells whether an engine has room under its bound, which distrust narrows. At zero one query may go if
@@ -295,16 +296,23 @@
 	}
 	work := r.lanes[t.lane].work
 	need := e.luck * work / (e.cores * trust * r.suits(t, e))
-	if r.credit >= 1 && work >= r.usual && r.now-e.probedAt >= fastestProbe && need < 2*eager(r.busy) {
+	if r.credit >= 1 && work >= r.usual && r.now-e.probedAt >= fastestProbe && need < 2*eager(e, r.busy) {
 		r.probe(e) // a long task placed wrongly costs more than a look at its engine first
 	}
-	return !e.probing && need < eager(r.load(e))
+	return !e.probing && need < eager(e, r.load(e))
 }
 
-// eager is how many times an engine's work all gateways together may let in at zero by its busy share: as
-// much as it can do at three quarters, far more on an idle fleet, where a task should not wait for its
-// chance, and still some on one that reports itself full, so that an old report doesn't shut it out.
-func eager(busy float64) float64 { return max(0.06, 3*(1-busy)/(0.1+busy)) }
+// eager is how many times an engine's work all gateways together may let in at zero by its busy share: about
+// as much as it can do at three quarters, far more on an idle fleet, still some on one that reports itself
+// full, as reports grow old. Where memory and disks are told too, less hides behind idle cores, and more is
+// let in: 3 there kept long tasks waiting, 8 elsewhere filled engines before it showed.
+func eager(e *engine, busy float64) float64 {
+	pace := 3.0
+	if e.report.Memory >= 0 && e.report.Disks >= 0 {
+		pace = 8
+	}
+	return max(0.06, pace*(1-busy)/(0.1+busy))
+}
 
 // mayTry is the part of the rules that doesn't depend on the engine: one hand-off at a time, none after the
 // end, the order of keys, the most hand-offs of a task, the ration of further ones.
@@ -320,7 +328,6 @@
 	return r.mayRepeat(t) && (t.tries == 0 || r.rationed())
 }
 
-// spent tells whether a task has had all its hand-offs.
 func (r *Router) spent(t *task) bool { return r.d.MaxTries > 0 && t.tries >= r.d.MaxTries }
 
 // mayRepeat tells whether the task's lane allows a hand-off to any engine at all.
@@ -537,40 +544,35 @@
 		r.learnWork(l, cost)
 	}
 	// How many times its work a task takes where nothing is crowded: it falls with the answers and hardly rises.
-	if ratio := run * threads / max(1, cost); l.ease == 0 || ratio < l.ease {
+	if ratio := run * threads / max(1, cost); l.answers == 1 || ratio < l.ease {
 		l.ease += max(recent, 1/l.answers) * (ratio - l.ease)
 	} else {
 		l.ease += recent / many * (min(ratio, 3*l.ease) - l.ease)
 	}
 }
 
-// cost is a task's work, as its answer tells, else as estimated.
+// cost is a task's work, as its answer tells, else as estimated; else it took what it ran.
 func (r *Router) cost(t *task, work Time) float64 {
-	switch run := float64(r.now-t.sentAt) * float64(r.d.Lanes[t.lane].Threads); {
-	case work > 0 || t.work > 0:
-		return float64(max(work, t.work))
-	case r.d.TellsCost:
-		return min(run, r.lanes[t.lane].work)
-	default:
-		return run
+	run := float64(r.now-t.sentAt) * float64(r.d.Lanes[t.lane].Threads)
+	if told := max(work, t.work); told > 0 {
+		return float64(told)
+	} else if r.d.TellsCost {
+		return min(run, r.lanes[t.lane].work) // no answer came
 	}
+	return run
 }
 
-// learnWork takes a task's work into its lane's mean: estimates when tasks come, since what is answered under
-// a bar is no fair sample, else what answers tell.
+// learnWork takes a task's work into its lane's mean: estimates when tasks come, else what answers tell.
 func (r *Router) learnWork(l *learned, work float64) {
 	l.tasks = min(l.tasks+1, many)
 	l.work += 1 / (l.tasks + 1) * (work - l.work) // what it started from counts as one
 }
 
 // price is what a task earns for its work, as far as the lane's answers bear out what was told of it:
-// estimates can be far too high or too low for a lane as a whole.
+// estimates can be far too high or too low for a lane as a whole, but none is trusted to be five times too
+// high.
 func (r *Router) price(lane int, work float64) float64 {
-	ease := r.lanes[lane].ease
-	if ease == 0 {
-		ease = 1 // no answer yet
-	}
-	return r.d.Lanes[lane].Earnings / work / max(0.2, ease) // no estimate is trusted to be five times too high
+	return r.d.Lanes[lane].Earnings / work / max(0.2, r.lanes[lane].ease)
 }
 
 // rankLanes orders lanes by earnings for the work they take. Shares go up by steps of two to four, so a lane
@@ -616,7 +618,6 @@
 // utilisation stands in; where it reports nothing, our own held count there does, for all gateways.
 func (r *Router) signal(e *engine) float64 {
 	const high, low, still, halfPart = 0.9, 0.45, 0.75 * threshold, 0.5
-	own := e.running - e.since
 	signal := still
 	switch {
 	case r.now-e.reportAt >= stale:
@@ -632,7 +633,7 @@
 	case e.util <= low:
 		return 0
 	}
-	if signal < threshold && r.now-r.wanted < Second && own*float64(r.d.Gateways) < threshold*e.cores {
+	if signal < threshold && r.now-r.wanted < Second && (e.running-e.since)*float64(r.d.Gateways) < threshold*e.cores {
 		// An exception to the still band: while held tasks are given up for want of room and our own count is
 		// under our part of the threshold, room is taken: the band is wide, and a bound stepped down in a burst,
 		// or a gateway that came to less than its part, would stay there. Harm: where a shortage hides.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -53,17 +53,17 @@
 		e := &s.engines[0]
 		show := func(why string) { s.say("%s: signal %.3g", why, s.signal(e)) }
 		s.at, s.now = Second, Second
-		e.reportAt, e.report = s.at, Report{8, -1}
+		e.reportAt, e.report = s.at, Report{8, -1, -1, -1}
 		show("8 held on 4 cores, 1.75 threads each")
 		for _, u := range []float64{0.95, 0.6, 0.3} {
-			e.report, e.util = Report{-1, u}, u
+			e.report, e.util = Report{-1, u, -1, -1}, u
 			show(fmt.Sprintf("utilisation %.2f", u))
 		}
 		e.util, e.running, s.wanted = 0.6, 4, s.at
 		show("utilisation 0.60 while tasks are given up for want of room")
 		e.running = 8
 		show("the same with two threads of ours a core")
-		e.report, e.running = Report{3.5, -1}, 4
+		e.report, e.running = Report{3.5, -1, -1, -1}, 4
 		show("3.5 held on 4 cores, 4 threads of ours, while tasks are given up")
 		s.wanted = 0
 		show("the same while none is given up")
@@ -230,7 +230,7 @@
 			s.probed("e2", TimedOut, NoReport)
 		}
 		s.pass(4 * Second)
-		s.probed("e1", Delivered, Report{-1, 0.5})
+		s.probed("e1", Delivered, Report{-1, 0.5, -1, -1})
 		return s
 	},
 	"reports": func() *script { // the same report twice is one sight; two steps need two reports
@@ -238,7 +238,7 @@
 		s.task("a", 0, 0, "")
 		for _, u := range []float64{0.99, 0.99, 0.98} {
 			s.pass(s.at + 200*Millisecond)
-			s.probed("e1", Delivered, Report{-1, u})
+			s.probed("e1", Delivered, Report{-1, u, -1, -1})
 		}
 		return s
 	},
@@ -247,12 +247,12 @@
 		s.credit = mostCredit / 2
 		s.probes = true
 		s.pass(40 * Millisecond)
-		s.probed("e1", Delivered, Report{-1, 0.5})
+		s.probed("e1", Delivered, Report{-1, 0.5, -1, -1})
 		s.pass(3 * Second)
 		s.say("credit %.1f", s.credit)
 		s.task("a", 0, 0, "")
 		s.task("b", 0, 0, "")
-		s.probed("e1", Delivered, Report{-1, 0.6})
+		s.probed("e1", Delivered, Report{-1, 0.6, -1, -1})
 		s.task("c", 0, 0, "")
 		return s
 	},
@@ -279,7 +279,7 @@
 		d.TellsCost = true
 		s := start(d, "e1")
 		e := &s.engines[0]
-		s.probed("e1", Delivered, Report{-1, 0.4})
+		s.probed("e1", Delivered, Report{-1, 0.4, -1, -1})
 		s.say("busy share %.2f", s.told(e))
 		for i := range 20 {
 			id := TaskID(fmt.Sprint("t", i))
@@ -380,7 +380,7 @@
 		r.Arrived(now, "a", now+Second, 0, 0, "", 3, 50*Millisecond)
 		r.Arrived(now, "b", now+Second, 3, 0, "key", 3, 0)
 		r.Due(now)
-		r.Probed(now, "e1", Delivered, Report{-1, float64(now%100) / 100})
+		r.Probed(now, "e1", Delivered, Report{-1, float64(now%100) / 100, -1, -1})
 		r.Ended(now, "a", Delivered, true, 0, 0, NoReport)
 		r.Ended(now, "b", Delivered, true, 0, 0, NoReport)
 	}
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -63,11 +63,12 @@
 	Since             Time // last start; 0: long ago
 }
 
-// Report is an engine's load report; a value below 0 is absent.
-type Report struct{ Held, Util float64 }
+// Report is an engine's load report: queries held, and the shares of its cores, memory and disks that are in use.
+// A value below 0 is absent.
+type Report struct{ Held, Util, Memory, Disks float64 }
 
 // NoReport has no value at all.
-var NoReport = Report{-1, -1}
+var NoReport = Report{-1, -1, -1, -1}
 
 // News is a kind of note about a running hand-off.
 type News uint8
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -158,6 +158,10 @@
 			r.Held = v
 		case "util":
 			r.Util = v
+		case "x0":
+			r.Memory = v
+		case "x1":
+			r.Disks = v
 		}
 	}
 	return r
