Time-outs at a bound of zero raise distrust; engines are looked at every 800 ms

Guards against engines that take work and don't answer, whatever the cause; harm: a lane of long tasks that time out by themselves turns from sound engines.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -56,7 +56,7 @@
 		ticked: now, wanted: now - Second}
 	for i := range d.Lanes {
 		l := &d.Lanes[i]
-		r.ran += float64(l.Quoted)
+		r.ran, r.asked = r.ran+float64(l.Quoted), r.asked+float64(l.Quoted)
 		r.step += float64(l.Threads) / float64(len(d.Lanes))
 		r.ladder = append(r.ladder, i)
 		run := float64(l.Quoted) / 3 // until answers tell: users quote with room to wait
@@ -68,7 +68,6 @@
 	for n := range r.used {
 		r.tenants = append(r.tenants, n)
 	}
-	r.asked = r.ran
 	r.queues = make([][]int32, len(r.used)*len(d.Lanes))
 	if d.ExtraSpan > 0 {
 		r.takes = make([]span, spans+1)
@@ -87,8 +86,7 @@
 func (r *Router) Listed(now Time, form Form, list []Listing) {
 	r.now = now
 	if form == NoAnswer {
-		const again = Second // a list service that fails is asked no faster, and well within any deemed telling
-		r.askAt = now + again
+		r.askAt = now + Second // a list service that fails is asked no faster, and well within any deemed telling
 		return
 	}
 	if form != Changes {
@@ -211,8 +209,7 @@
 // use is a tenant's threads running over its share.
 func (r *Router) use(n int) float64 { return r.used[n] / max(0.001, r.d.Tenants[n].Share) }
 
-// draw picks an engine at random, weighted down by the utilisation it reported, or by our own busy share of
-// its bound, plus what we sent since.
+// draw picks an engine at random, weighted down by its busy share.
 func (r *Router) draw(t *task) int32 {
 	if !r.mayTry(t) {
 		return none
@@ -257,18 +254,16 @@
 	return 1
 }
 
-// load is the share of an engine that is busy as far as we know. One without a fresh report counts as those
-// did that we heard of last: our own threads there tell nothing where our part of it is less than a query.
+// load is the share of an engine that is busy, plus what we sent since. One without a fresh report counts as
+// those did that we heard of last: our own threads there tell nothing where our part of it is less than a
+// query.
 func (r *Router) load(e *engine) float64 {
-	if r.fresh(e) {
+	if e.report != NoReport && r.now-e.reportAt < stale {
 		return r.told(e) + e.since/e.cores
 	}
 	return r.busy + e.running/e.cores
 }
 
-// fresh tells whether an engine's report says something of now.
-func (r *Router) fresh(e *engine) bool { return e.report != NoReport && r.now-e.reportAt < stale }
-
 // told is the busy share that an engine reports: of the queries that the threshold allows it, or of its
 // cores, memory or disks, whichever is scarcest. Cores idle under tasks that wait for the others, which then
 // take long: where answers tell work, the share counts as many times as tasks took of their work lately.
@@ -361,8 +356,7 @@
 func (r *Router) coldRoom(e *engine, work float64) bool {
 	const careful = 0.5
 	turn := r.now / (2 * r.d.TipAfter)
-	begun := turn * 2 * r.d.TipAfter
-	if (turn+Time(e.hash))%Time(r.d.Gateways) != Time(r.d.Me) || r.now-begun >= r.d.TipAfter {
+	if (turn+Time(e.hash))%Time(r.d.Gateways) != Time(r.d.Me) || r.now%(2*r.d.TipAfter) >= r.d.TipAfter {
 		return false
 	}
 	if e.coldAt != turn {
@@ -465,6 +459,10 @@
 		r.doubt(e, 2)
 	case Errored:
 		r.doubt(e, 0.5)
+	case TimedOut, Cancelled:
+		if e.bound < 1 { // which has no step left to take
+			r.doubt(e, 1)
+		}
 	case Full:
 		r.stepBound(e, threshold, Second)
 	}
@@ -535,7 +533,6 @@
 // learn takes a delivered task into its lane's usual figures.
 func (r *Router) learn(t *task, work Time, memory float64) {
 	l, run := &r.lanes[t.lane], float64(r.now-t.sentAt)
-	threads := float64(r.d.Lanes[t.lane].Threads)
 	l.answers = min(l.answers+1, many)
 	l.run += max(recent, 1/l.answers) * (run - l.run)
 	l.memory += 1 / l.answers * (memory - l.memory)
@@ -544,7 +541,7 @@
 		r.learnWork(l, cost)
 	}
 	// How many times its work a task takes where nothing is crowded: it falls with the answers and hardly rises.
-	if ratio := run * threads / max(1, cost); l.answers == 1 || ratio < l.ease {
+	if ratio := run * float64(r.d.Lanes[t.lane].Threads) / max(1, cost); l.answers == 1 || ratio < l.ease {
 		l.ease += max(recent, 1/l.answers) * (ratio - l.ease)
 	} else {
 		l.ease += recent / many * (min(ratio, 3*l.ease) - l.ease)
@@ -633,7 +630,8 @@
 	case e.util <= low:
 		return 0
 	}
-	if signal < threshold && r.now-r.wanted < Second && (e.running-e.since)*float64(r.d.Gateways) < threshold*e.cores {
+	if part := threshold * e.cores / float64(r.d.Gateways); signal < threshold && r.now-r.wanted < Second &&
+		e.running-e.since < part {
 		// An exception to the still band: while held tasks are given up for want of room and our own count is
 		// under our part of the threshold, room is taken: the band is wide, and a bound stepped down in a burst,
 		// or a gateway that came to less than its part, would stay there. Harm: where a shortage hides.
@@ -662,16 +660,17 @@
 // seen in it, however many gateways there are, and reports come when there is something to hand off.
 const (
 	probeBudget  = 0.005
-	mostCredit   = 8.0 // a stalled router doesn't probe for all that came meanwhile
-	fastestProbe = 200 * Millisecond
-	stale        = 3 * Second // a report that has not changed for so long says nothing of now
+	mostCredit   = 8.0               // a stalled router doesn't probe for all that came meanwhile
+	fastestProbe = 200 * Millisecond // reports are made anew no faster
+	turnover     = 800 * Millisecond // of an engine's load, by and large; a look each 200 or 400 ms told no more
+	stale        = 3 * Second        // a report that has not changed for so long says nothing of now
 )
 
 // look probes the engine unseen for longest, no more often than reports are commonly made anew, while there
 // is credit to spare.
 func (r *Router) look() {
 	for r.credit >= mostCredit/2 {
-		next, oldest := none, r.now-fastestProbe+1
+		next, oldest := none, r.now-turnover+1
 		for i := range r.engines {
 			if e := &r.engines[i]; e.State == Live && !e.probing && e.probedAt < oldest {
 				next, oldest = int32(i), e.probedAt
@@ -735,7 +734,8 @@
 // Distrust: failures add to an engine's score, which halves every halfLife; its bound and its weight in the
 // draw halve with each point, and at shut it gets nothing. It counts above the least of the fleet's: what
 // strikes all condemns none. A broken or refused connection adds 2, so that two in a row shut an engine; a
-// silent probe 1.5, as one may be chance; an error 0.5, as single errors are common.
+// silent probe 1.5, as one may be chance; an error 0.5, as single errors are common. A time-out or a hopeless
+// hand-off adds 1 where the bound is at zero: it can't step down from an engine that others have jammed.
 const (
 	halfLife    = 1500 * Millisecond // a struck engine is back under shut within some three seconds
 	shut        = 3.0
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -233,6 +233,21 @@
 		s.probed("e1", Delivered, Report{-1, 0.5, -1, -1})
 		return s
 	},
+	"time-outs": func() *script { // incident: at zero they turn a router from a jammed engine, above it the bound does
+		s := start(deployment(), "e1")
+		e := &s.engines[0]
+		for i, bound := range []float64{8, 0} {
+			id := TaskID(fmt.Sprint("t", i))
+			s.task(id, 0, 0, "")
+			e.bound = bound
+			s.end(id, TimedOut)
+			s.say("bound %g: distrust %.1f", bound, s.score(e))
+			e.bound = 8
+			s.ClientGone(s.at, id)
+			s.end(id, TimedOut)
+		}
+		return s
+	},
 	"reports": func() *script { // the same report twice is one sight; two steps need two reports
 		s := start(deployment(), "e1")
 		s.task("a", 0, 0, "")
