--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -254,9 +254,8 @@
 	return 1
 }
 
-// load is the share of an engine that is busy, plus what we sent since. One without a fresh report counts as
-// those did that we heard of last: our own threads there tell nothing where our part of it is less than a
-// query.
+// load is an engine's busy share, plus what we sent since. One without a fresh report counts as those heard
+// of last: our own threads there tell nothing where our part of it is below a query.
 func (r *Router) load(e *engine) float64 {
 	if e.report != NoReport && r.now-e.reportAt < stale {
 		return r.told(e) + e.since/e.cores
@@ -281,13 +280,16 @@
 // open tells whether an engine has room under its bound, which distrust narrows. At zero one query may go if
 // none of ours runs there, with a chance of one over the gateways each tick. This tick is the time that the
 // engine needs for the task's usual work, shorter the less of the engine is busy: all gateways together let
-// in what it can take, however many they are. A cold engine's turns stand in for the chance.
+// in what it can take, however many they are. In its turn at a cold engine a gateway has all parts of its
+// bound.
 func (r *Router) open(e *engine, t *task, trust float64) bool {
 	if e.bound >= 1 {
 		return e.running < e.bound*trust
 	}
-	if e.running > 0 || r.isCold(e) {
-		return e.running == 0
+	if r.isCold(e) {
+		return e.running < threshold*e.cores*r.d.ColdShare*trust
+	} else if e.running > 0 {
+		return false
 	}
 	work := r.lanes[t.lane].work
 	need := e.luck * work / (e.cores * trust * r.suits(t, e))
@@ -499,8 +501,7 @@
 	return min(t.quoted-Time(free), t.cutoff-2*tick)
 }
 
-// giveUp is the only place that answers a task without an engine, and it does so at once: a nack where a
-// further try is harmless, else a write-off.
+// giveUp is the only place that answers a task without an engine: a nack where a further try is harmless.
 func (r *Router) giveUp(i int32) {
 	t, l := &r.tasks[i], &r.d.Lanes[r.tasks[i].lane]
 	if t.out || t.gone {
@@ -666,8 +667,7 @@
 	stale        = 3 * Second        // a report that has not changed for so long says nothing of now
 )
 
-// look probes the engine unseen for longest, no more often than reports are commonly made anew, while there
-// is credit to spare.
+// look probes the engine unseen for longest while there is credit to spare.
 func (r *Router) look() {
 	for r.credit >= mostCredit/2 {
 		next, oldest := none, r.now-turnover+1
@@ -745,9 +745,8 @@
 func (r *Router) doubt(e *engine, points float64) {
 	e.distrust = min(mostDoubted, r.score(e)+points)
 	e.distrustAt = r.now
-	const again = 10 * Second // a person acts on the first line
-	if e.distrust-r.leastDistrust() >= shut && (e.saidAt == 0 || r.now-e.saidAt >= again) {
-		e.saidAt = r.now
+	if e.distrust-r.leastDistrust() >= shut && (e.saidAt == 0 || r.now-e.saidAt >= 10*Second) {
+		e.saidAt = r.now // a person acts on the first line
 		r.host.Say(fmt.Sprintf("engine %s distrusted: no new tasks until the score fades", e.Engine))
 	}
 }
