--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -37,7 +37,7 @@
 	takes          []span  // tasks taken and further hand-offs, for the ration
 	credit         float64 // probes that the tasks taken have paid for
 	ran, asked     float64 // thread time of tasks that ended lately, and the work they asked for
-	usual          float64 // work of a task
+	usual          float64 // work of the tasks sent lately
 	busy           float64 // of engines by their latest reports: what one without a fresh report counts as
 	bar, bestPrice float64 // least price of a task taken on, as a part of the best lane's
 	askAt          Time    // when to ask for the list again; 0: not
@@ -132,7 +132,6 @@
 	l := &r.d.Lanes[lane]
 	r.seq++
 	r.credit = min(mostCredit, r.credit+probeBudget/max(probeBudget/mostCredit, r.d.ProbePrice))
-	r.usual += 0.05 * (r.lanes[lane].work - r.usual)
 	i := r.seat(task{id: id, lane: lane, tenant: tenant, tables: tables, arrived: now, cutoff: cutoff,
 		work: work, seq: r.seq, engine: none, rank: 1})
 	t := &r.tasks[i]
@@ -279,9 +278,9 @@
 
 // open tells whether an engine has room under its bound, which distrust narrows. At zero one query may go if
 // none of ours runs there, with a chance of one over the gateways each tick. This tick is the time that the
-// engine needs for the task's usual work, shorter the less of the engine is busy: all gateways together let
-// in what it can take, however many they are. In its turn at a cold engine a gateway has all parts of its
-// bound.
+// engine needs for the work of a task like those sent lately, shorter the less of the engine is busy: all
+// gateways together let in what it can take, however many they are, and which task goes is the order's to say.
+// In its turn at a cold engine a gateway has all parts of its bound.
 func (r *Router) open(e *engine, t *task, trust float64) bool {
 	if e.bound >= 1 {
 		return e.running < e.bound*trust
@@ -291,10 +290,10 @@
 	} else if e.running > 0 {
 		return false
 	}
-	work := r.lanes[t.lane].work
-	need := e.luck * work / (e.cores * trust * r.suits(t, e))
-	if r.credit >= 1 && work >= r.usual && r.now-e.probedAt >= fastestProbe && need < 2*eager(e, r.busy) {
-		r.probe(e) // a long task placed wrongly costs more than a look at its engine first
+	need := e.luck * r.usual / (e.cores * trust * r.suits(t, e))
+	if r.credit >= 1 && r.d.Lanes[t.lane].Threads > 1 && r.now-e.probedAt >= fastestProbe &&
+		need < 2*eager(e, r.busy) {
+		r.probe(e) // one of several threads placed wrongly costs more than a look first
 	}
 	return !e.probing && need < eager(e, r.load(e))
 }
@@ -403,6 +402,7 @@
 		s.extra++
 	}
 	t.out, t.engine, t.sentAt = true, to, r.now
+	r.usual += 0.2 * (learned.work - r.usual) // some five hand-offs
 	t.tries++
 	if r.isCold(e) {
 		e.cold += learned.work
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -320,7 +320,7 @@
 		s.Noted(s.at, "unrepeatable", 0, Progress, 0.01)
 		return s
 	},
-	"many gateways": func() *script { // a part far below a query: engines open by chance, seldom to long tasks
+	"many gateways": func() *script { // a part far below a query: engines open by chance, seldom after long tasks
 		d := deployment()
 		d.Gateways, d.Probes = 300, false
 		var names []EngineID
@@ -330,16 +330,15 @@
 		s := start(d, names...)
 		s.say("bound %.3g", s.engines[0].bound)
 		show := func(why string) {
-			n := [2]int{}
+			n := 0
 			for i := range s.engines {
-				for lane := range n {
-					if s.open(&s.engines[i], &task{lane: lane}, 1) {
-						n[lane]++
-					}
+				if s.open(&s.engines[i], &task{lane: 1}, 1) {
+					n++
 				}
 			}
-			s.say("%s: of 200 engines %d are open to short tasks, %d to long ones", why, n[0], n[1])
+			s.say("%s: of 200 engines %d are open", why, n)
 		}
+		s.usual = float64(600 * Millisecond)
 		s.pass(tick)
 		show("a tick, half busy")
 		s.at += 50 * tick
@@ -347,6 +346,19 @@
 		show("a stall of 50 ticks")
 		s.busy = 0.9
 		show("the same, 0.9 busy")
+		s.busy, s.usual = 0.5, float64(6*Second)
+		show("half busy, after tasks of ten times the work")
+		return s
+	},
+	"worth first": func() *script { // at zero too the dearest goes first, whatever its work
+		d := deployment()
+		d.Gateways, d.Probes = 300, false
+		s := start(d, "e1", "e2", "e3")
+		s.rankLanes()
+		s.task("short", 0, 0, "")
+		s.task("dear", 1, 0, "")
+		s.usual = 1
+		s.pass(20 * Millisecond)
 		return s
 	},
 	"ranks": func() *script { // by earnings for work
