--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -61,6 +61,7 @@
 		r.ladder = append(r.ladder, i)
 		run := float64(l.Quoted) / 3 // until answers tell: users quote with room to wait
 		r.lanes[i] = learned{run: run, work: run * float64(l.Threads), ease: 1, rank: 1}
+		r.usual += r.lanes[i].work / float64(len(d.Lanes))
 	}
 	slices.SortStableFunc(r.ladder, func(a, b int) int {
 		return cmp.Compare(d.Lanes[b].Earnings, d.Lanes[a].Earnings)
@@ -164,10 +165,9 @@
 	}
 }
 
-// moveBar sets the least price, in earnings for work, at which tasks are taken on. It rises while some held
-// task has used up half of its useful time, and falls otherwise: in an order by earnings short cheap lanes
-// would starve behind a queue of long dear ones, and what is held longest would run too late to earn. Harm:
-// where a lane's estimates are off beyond what its answers correct, it is shed before others.
+// moveBar sets the least price, in earnings for work, at which tasks are taken on: up while a held task has
+// used up half of its useful time, else down. By earnings alone cheap lanes would starve behind dear ones.
+// Harm: where estimates are off beyond what answers correct, a lane is shed before others.
 func (r *Router) moveBar(starving bool) {
 	const rise, fall = 1.06, 0.97     // a tick: doubled in a quarter of a second, halved in twice that
 	const lowest, highest = 0.02, 1.5 // of the best lane's price, whose usual tasks pass all the same
@@ -205,7 +205,6 @@
 	return false
 }
 
-// use is a tenant's threads running over its share.
 func (r *Router) use(n int) float64 { return r.used[n] / max(0.001, r.d.Tenants[n].Share) }
 
 // draw picks an engine at random, weighted down by its busy share.
@@ -279,7 +278,7 @@
 // open tells whether an engine has room under its bound, which distrust narrows. At zero one query may go if
 // none of ours runs there, with a chance of one over the gateways each tick. This tick is the time that the
 // engine needs for the work of a task like those sent lately, shorter the less of the engine is busy: all
-// gateways together let in what it can take, however many they are, and which task goes is the order's to say.
+// gateways together let in what it can take, however many they are, and the order says which task goes.
 // In its turn at a cold engine a gateway has all parts of its bound.
 func (r *Router) open(e *engine, t *task, trust float64) bool {
 	if e.bound >= 1 {
@@ -299,9 +298,9 @@
 }
 
 // eager is how many times an engine's work all gateways together may let in at zero by its busy share: about
-// as much as it can do at three quarters, far more on an idle fleet, still some on one that reports itself
-// full, as reports grow old. Where memory and disks are told too, less hides behind idle cores, and more is
-// let in: 3 there kept long tasks waiting, 8 elsewhere filled engines before it showed.
+// as much as it can do at three quarters, and still some on one that reports itself full, as reports grow
+// old. Where memory and disks are told too, less hides behind idle cores: 3 there kept long tasks waiting, 8
+// elsewhere filled engines before it showed.
 func eager(e *engine, busy float64) float64 {
 	pace := 3.0
 	if e.report.Memory >= 0 && e.report.Disks >= 0 {
@@ -344,18 +343,20 @@
 		l.Within == SameCell && (e.Group != t.doubtGroup || e.Zone != t.doubtZone)) {
 		return false
 	}
-	return !r.isCold(e) || r.coldRoom(e, r.lanes[t.lane].work)
+	return !r.isCold(e) || r.coldRoom(e, t.lane)
 }
 
-func (r *Router) isCold(e *engine) bool { return e.Since > 0 && r.now < e.Since+r.d.WarmAfter }
+func (r *Router) isCold(e *engine) bool {
+	return r.d.TipAfter > 0 && e.Since > 0 && r.now < e.Since+r.d.WarmAfter
+}
 
 // coldRoom tells whether a cold engine can be sent some work. All routers together may send a multiple of its
-// present capacity, of which only the least is known. A part for each would be less than a task where there
-// are many; so they take turns by their numbers, a span each with a span of rest, so that no span sees two of
-// them. Half of the budget is used: engines are slower than their cores tell, and a lane's usual work is
-// learned.
-func (r *Router) coldRoom(e *engine, work float64) bool {
-	const careful = 0.5
+// present capacity, of which only the least is known. As parts would be below a task where there are many,
+// they take turns by their numbers, a span each with one of rest, so that no span sees two of them.
+func (r *Router) coldRoom(e *engine, lane int) bool {
+	const careful = 0.5   // of the budget: engines are slower than their cores tell
+	d := &r.d.Lanes[lane] // its work is taken for rather too much until it is learned
+	work := r.lanes[lane].work + float64(d.Quoted)*float64(d.Threads)/(r.lanes[lane].tasks+1)
 	turn := r.now / (2 * r.d.TipAfter)
 	if (turn+Time(e.hash))%Time(r.d.Gateways) != Time(r.d.Me) || r.now%(2*r.d.TipAfter) >= r.d.TipAfter {
 		return false
@@ -528,10 +529,9 @@
 	}
 }
 
-// The usual run follows the engines' state, some twenty answers back; work and memory are means of hundreds.
+// learn's usual run follows the engines' state, some twenty answers back; work and memory are long means.
 const recent, many = 0.05, 300
 
-// learn takes a delivered task into its lane's usual figures.
 func (r *Router) learn(t *task, work Time, memory float64) {
 	l, run := &r.lanes[t.lane], float64(r.now-t.sentAt)
 	l.answers = min(l.answers+1, many)
