--- /dev/null
+++ b/internal/deployment/start.go
@@ -0,0 +1,51 @@
+package deployment
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/sheet"
+)
+
+// Start is what one router is told when its process begins.
+type Start struct {
+	Name, Listen string
+	EngineList   string // address of the engine list
+	Seed         int64
+	MemoryMB     int
+	Known        *sheet.Sheet // the engine list's events so far
+	Site         *admission.Deployment
+	Network      *Network
+}
+
+// ReadStart reads a router's configuration from a file.
+func ReadStart(path string) (*Start, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	c, err := sheet.Parse("configuration", text)
+	if err != nil {
+		return nil, err
+	}
+	s := &Start{Name: c.Needed("name"), Listen: c.Needed("listen"), EngineList: c.Needed("coordinator"),
+		MemoryMB: int(c.Num("limits", "memory_mb")), Known: c.Under("known")}
+	seed, err := strconv.ParseUint(c.Needed("seed"), 16, 64)
+	if err != nil {
+		c.Fail("up to 16 hex digits", "seed")
+	}
+	s.Seed = int64(seed)
+	settings := c.Under("settings")
+	if c.Err() != nil {
+		return nil, c.Err()
+	}
+	if s.Site, err = Read(settings); err != nil {
+		return nil, err
+	}
+	if s.Network, err = ReadNetwork(settings); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/enginelist/enginelist.go
@@ -0,0 +1,136 @@
+// Package enginelist parses and writes the engine list's wire, polls over HTTP/1.1, on bytes alone.
+package enginelist
+
+import (
+	"bytes"
+	"errors"
+	"slices"
+	"strconv"
+	"strings"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/sheet"
+)
+
+// Request appends the poll for events after one that is held.
+func Request(dst []byte, host string, follow, waitMS int64) []byte {
+	dst = strconv.AppendInt(append(dst, "GET /v2/stream?follow="...), follow, 10)
+	dst = strconv.AppendInt(append(dst, "&wait_ms="...), waitMS, 10)
+	return append(append(append(dst, " HTTP/1.1\r\nHost: "...), host...), "\r\nAccept: application/json\r\n\r\n"...)
+}
+
+// ErrAnswer is what is no answer in HTTP/1.1 with a body.
+var ErrAnswer = errors.New("malformed answer")
+
+// MostAnswer is the longest answer that Answer takes: some ten thousand entries.
+const MostAnswer = 1 << 21
+
+// Answer reads the answer at the start of b and tells how long it is; 0 where b does not hold all of it. last:
+// the connection carries no further one.
+func Answer(b []byte) (status int, body []byte, length int, last bool, err error) {
+	at := bytes.Index(b, []byte("\r\n\r\n"))
+	if at < 0 {
+		return 0, nil, 0, false, nil
+	}
+	lines := strings.Split(string(b[:at]), "\r\n")
+	protocol, rest, _ := strings.Cut(lines[0], " ")
+	code, _, _ := strings.Cut(rest, " ")
+	if status, err = strconv.Atoi(code); err != nil || !strings.HasPrefix(protocol, "HTTP/1.") {
+		return 0, nil, 0, false, ErrAnswer
+	}
+	at += 4
+	size, chunked := -1, false
+	for _, line := range lines[1:] {
+		name, value, _ := strings.Cut(line, ":")
+		value = strings.TrimSpace(value)
+		switch strings.ToLower(name) {
+		case "content-length":
+			if size, err = strconv.Atoi(value); err != nil || size < 0 || size > MostAnswer {
+				return 0, nil, 0, false, ErrAnswer
+			}
+		case "transfer-encoding":
+			chunked = strings.EqualFold(value, "chunked")
+		case "connection":
+			last = strings.EqualFold(value, "close")
+		}
+	}
+	switch {
+	case chunked:
+		body, length, err = chunks(b, at)
+	case status == 204 || status == 304:
+		length = at
+	case size < 0:
+		err = ErrAnswer
+	case at+size <= len(b):
+		body, length = b[at:at+size], at+size
+	}
+	return status, body, length, last, err
+}
+
+// chunks reads a body in chunks that starts at a place, and tells where the next answer begins.
+func chunks(b []byte, at int) (body []byte, next int, err error) {
+	for {
+		i := bytes.Index(b[at:], []byte("\r\n"))
+		if i < 0 {
+			return nil, 0, nil
+		}
+		digits, _, _ := bytes.Cut(b[at:at+i], []byte{';'})
+		size, err := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 31)
+		if err != nil || size > MostAnswer {
+			return nil, 0, ErrAnswer
+		}
+		at += i + 2
+		if size == 0 {
+			i := bytes.Index(b[at-2:], []byte("\r\n\r\n")) // trailers, if any, end here
+			if i < 0 {
+				return nil, 0, nil
+			}
+			return body, at + i + 2, nil
+		}
+		if at+int(size)+2 > len(b) {
+			return nil, 0, nil
+		}
+		body = append(body, b[at:at+int(size)]...)
+		at += int(size) + 2
+	}
+}
+
+// Events calls told for each event after one that is held, in turn, with the addresses of the listed engines
+// beside them, and returns the number of the last. An event with an entry that can't be read is passed over.
+func Events(s *sheet.Sheet, held int64, zones, kinds []string,
+	told func(whole bool, list []admission.Listing, addresses []string)) int64 {
+	for i := range s.List("updates") {
+		index := int64(s.Num("updates", i, "index"))
+		if index <= held {
+			continue
+		}
+		held = index
+		var list []admission.Listing
+		var addresses []string
+		for k := range s.List("updates", i, "endpoints", "servers") {
+			entry := func(field string) []any { return []any{"updates", i, "endpoints", "servers", k, field} }
+			l := admission.Listing{
+				Engine: admission.EngineID(s.Needed(entry("id")...)),
+				Zone:   slices.Index(zones, s.Text(entry("zone")...)),
+				Kind:   slices.Index(kinds, s.Text(entry("kind")...)),
+				Group:  int(s.Num(entry("cell")...)),
+				Since:  admission.Time(s.Num(entry("started_ms")...)) * admission.Millisecond,
+			}
+			switch s.Text(entry("state")...) {
+			case "Ready":
+				l.State = admission.Live
+			case "Terminating":
+				l.State = admission.Draining
+			case "Gone":
+				l.State = admission.Gone
+			default:
+				s.Fail("Ready, Terminating or Gone", entry("state")...)
+				continue
+			}
+			list = append(list, l)
+			addresses = append(addresses, s.Text(entry("addr")...))
+		}
+		told(s.Flag("updates", i, "endpoints", "full"), list, addresses)
+	}
+	return max(held, int64(s.Num("index")))
+}
--- /dev/null
+++ b/internal/mysql/packet.go
@@ -0,0 +1,218 @@
+// Package mysql parses and writes the server's side of the MySQL client protocol 4.1, on bytes alone.
+package mysql
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"strconv"
+)
+
+// HeadSize is the length of the head before each packet's payload.
+const HeadSize = 4
+
+// Head reads a packet's head: the payload's length and the packet's number.
+func Head(b []byte) (length int, number byte) {
+	return int(b[0]) | int(b[1])<<8 | int(b[2])<<16, b[3]
+}
+
+// The commands that a client may send.
+const (
+	Quit   byte = 0x01
+	InitDB byte = 0x02
+	Query  byte = 0x03
+	Ping   byte = 0x0e
+)
+
+// The capabilities of the protocol 4.1 that a session uses; no encryption, and EOF packets in use.
+const (
+	longPassword   = 1 << 0
+	withDatabase   = 1 << 3
+	protocol41     = 1 << 9
+	transactions   = 1 << 13
+	secureLogin    = 1 << 15
+	pluginAuth     = 1 << 19
+	lengthInLogin  = 1 << 21
+	capabilities   = longPassword | withDatabase | protocol41 | transactions | secureLogin | pluginAuth
+	utf8           = 33
+	autocommit     = 2
+	plugin         = "mysql_native_password"
+	serverVersion  = "8.0.36-magpiebank"
+	typeVarString  = 0xfd
+	loginFixedSize = 32
+)
+
+// packet appends the head of a packet and leaves its length open; seal fills it in.
+func packet(dst []byte, number byte) ([]byte, int) {
+	return append(dst, 0, 0, 0, number), len(dst)
+}
+
+func seal(dst []byte, at int) []byte {
+	n := len(dst) - at - HeadSize
+	dst[at], dst[at+1], dst[at+2] = byte(n), byte(n>>8), byte(n>>16)
+	return dst
+}
+
+// Greeting appends the server's first packet.
+func Greeting(dst []byte, connection uint32, salt *[20]byte) []byte {
+	dst, at := packet(dst, 0)
+	dst = append(append(append(dst, 10), serverVersion...), 0)
+	dst = binary.LittleEndian.AppendUint32(dst, connection)
+	dst = append(append(dst, salt[:8]...), 0)
+	dst = binary.LittleEndian.AppendUint16(dst, capabilities&0xffff)
+	dst = append(dst, utf8)
+	dst = binary.LittleEndian.AppendUint16(dst, autocommit)
+	dst = binary.LittleEndian.AppendUint16(dst, capabilities>>16)
+	dst = append(dst, byte(len(salt)+1))
+	dst = append(dst, make([]byte, 10)...)
+	dst = append(append(dst, salt[8:]...), 0)
+	dst = append(append(dst, plugin...), 0)
+	return seal(dst, at)
+}
+
+// ErrLogin is a login that is no packet of the protocol 4.1.
+var ErrLogin = errors.New("malformed login")
+
+// Login reads the client's first packet. The parts lie in the payload.
+func Login(payload []byte) (user, password, database []byte, err error) {
+	if len(payload) < loginFixedSize {
+		return nil, nil, nil, ErrLogin
+	}
+	flags := binary.LittleEndian.Uint32(payload)
+	if flags&protocol41 == 0 {
+		return nil, nil, nil, ErrLogin
+	}
+	rest := payload[loginFixedSize:]
+	user, rest, ok := bytes.Cut(rest, []byte{0})
+	if !ok {
+		return nil, nil, nil, ErrLogin
+	}
+	switch {
+	case flags&(secureLogin|lengthInLogin) != 0: // a password of 20 bytes or none; longer ones are no use here
+		if len(rest) == 0 || len(rest)-1 < int(rest[0]) {
+			return nil, nil, nil, ErrLogin
+		}
+		password, rest = rest[1:1+rest[0]], rest[1+rest[0]:]
+	default:
+		if password, rest, ok = bytes.Cut(rest, []byte{0}); !ok {
+			return nil, nil, nil, ErrLogin
+		}
+	}
+	if flags&withDatabase != 0 && len(rest) > 0 {
+		database, _, _ = bytes.Cut(rest, []byte{0})
+	}
+	return user, password, database, nil
+}
+
+// OK appends the packet that says so.
+func OK(dst []byte, number byte) []byte {
+	dst, at := packet(dst, number)
+	dst = append(dst, 0, 0, 0, autocommit, 0, 0, 0)
+	return seal(dst, at)
+}
+
+// The errors that sessions answer with. The first is a nack: trying again is harmless.
+const (
+	ErrNacked         = 1203 // ER_TOO_MANY_USER_CONNECTIONS
+	ErrWrittenOff     = 1317 // ER_QUERY_INTERRUPTED
+	ErrAccess         = 1045
+	ErrNoDatabase     = 1049
+	ErrUnknownCommand = 1047
+	ErrParse          = 1064
+	ErrTooLarge       = 1153
+	ErrNoSuchThread   = 1094
+)
+
+// Error appends an error packet.
+func Error(dst []byte, number byte, code uint16, text string) []byte {
+	state := "HY000"
+	switch code {
+	case ErrAccess:
+		state = "28000"
+	case ErrNoDatabase, ErrParse, ErrNacked:
+		state = "42000"
+	case ErrUnknownCommand, ErrTooLarge:
+		state = "08S01"
+	case ErrWrittenOff:
+		state = "70100"
+	}
+	dst, at := packet(dst, number)
+	dst = append(binary.LittleEndian.AppendUint16(append(dst, 0xff), code), '#')
+	return seal(append(append(dst, state...), text...), at)
+}
+
+// Nack appends the error packet of a nack, with the milliseconds to stay away where there are any.
+func Nack(dst []byte, number byte, comeBackMS int64) []byte {
+	text := "no room now"
+	if comeBackMS > 0 {
+		text += ", after=" + strconv.FormatInt(comeBackMS, 10)
+	}
+	return Error(dst, number, ErrNacked, text)
+}
+
+// eof appends the packet after the columns and after the rows.
+func eof(dst []byte, number byte) []byte {
+	dst, at := packet(dst, number)
+	return seal(append(dst, 0xfe, 0, 0, autocommit, 0), at)
+}
+
+// columns is how many a result has.
+const columns = 3
+
+// Columns appends what stands before a result's rows and returns the number of the next packet.
+func Columns(dst []byte, number byte) ([]byte, byte) {
+	dst, at := packet(dst, number)
+	dst = seal(append(dst, columns), at)
+	for _, name := range [columns]string{"c1", "c2", "c3"} {
+		number++
+		dst, at = packet(dst, number)
+		for _, s := range [...]string{"def", "", "", "", name, name} {
+			dst = text(dst, s)
+		}
+		dst = append(dst, 0x0c, utf8, 0)
+		dst = binary.LittleEndian.AppendUint32(dst, 1<<16-1)
+		dst = append(dst, typeVarString, 0, 0, 0, 0, 0)
+		dst = seal(dst, at)
+	}
+	return eof(dst, number+1), number + 2
+}
+
+// ErrRows is text that isn't whole rows of three columns.
+var ErrRows = errors.New("malformed rows")
+
+// Rows appends the packets of rows given as text, with a tab between columns and a line feed behind each row.
+func Rows(dst []byte, number byte, page []byte) ([]byte, byte, error) {
+	for len(page) > 0 {
+		line, rest, ok := bytes.Cut(page, []byte{'\n'})
+		if !ok || bytes.Count(line, []byte{'\t'}) != columns-1 {
+			return dst, number, ErrRows
+		}
+		var at int
+		dst, at = packet(dst, number)
+		for range columns {
+			var column []byte
+			column, line, _ = bytes.Cut(line, []byte{'\t'})
+			dst = text(dst, column)
+		}
+		dst = seal(dst, at)
+		number++
+		page = rest
+	}
+	return dst, number, nil
+}
+
+// EndRows appends what stands behind a result's rows.
+func EndRows(dst []byte, number byte) []byte { return eof(dst, number) }
+
+// text appends a length-encoded string.
+func text[T string | []byte](dst []byte, s T) []byte {
+	switch n := len(s); {
+	case n < 251:
+		dst = append(dst, byte(n))
+	case n < 1<<16:
+		dst = append(dst, 0xfc, byte(n), byte(n>>8))
+	default:
+		dst = append(dst, 0xfd, byte(n), byte(n>>8), byte(n>>16))
+	}
+	return append(dst, s...)
+}
--- /dev/null
+++ b/internal/resp/resp.go
@@ -0,0 +1,166 @@
+// Package resp parses and writes the engines' wire, arrays of bulk strings in RESP, on bytes alone.
+package resp
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"strconv"
+
+	"magpiebank/internal/admission"
+)
+
+// MostArray is the longest array that Parse takes: a page of 6,000 bytes with its head has ample room.
+const MostArray = 1 << 14
+
+// ErrArray is what is no array of bulk strings.
+var ErrArray = errors.New("malformed array")
+
+// Parse reads the array at the start of b into parts, which lie in b, and tells how long it is; 0 where b does
+// not hold all of it.
+func Parse(b []byte, parts [][]byte) ([][]byte, int, error) {
+	count, at, err := number(b, 0, '*')
+	if err != nil || at == 0 {
+		return parts, 0, err
+	}
+	if count < 1 || count > 16 {
+		return parts, 0, ErrArray
+	}
+	for range count {
+		length, from, err := number(b, at, '$')
+		if err != nil || from == 0 {
+			return parts, 0, err
+		}
+		if length < 0 || length > MostArray {
+			return parts, 0, ErrArray
+		}
+		if at = from + length + 2; at > len(b) {
+			return parts, 0, nil
+		}
+		if b[at-2] != '\r' || b[at-1] != '\n' {
+			return parts, 0, ErrArray
+		}
+		parts = append(parts, b[from:at-2])
+	}
+	return parts, at, nil
+}
+
+// number reads a line of a mark and a number, and tells where the next one begins; 0 where it isn't all there.
+func number(b []byte, at int, mark byte) (n, next int, err error) {
+	if at >= len(b) {
+		return 0, 0, nil
+	}
+	if b[at] != mark {
+		return 0, 0, ErrArray
+	}
+	i := bytes.IndexByte(b[at:], '\n')
+	if i < 0 {
+		if len(b)-at > 16 {
+			return 0, 0, ErrArray
+		}
+		return 0, 0, nil
+	}
+	if i < 3 || b[at+i-1] != '\r' {
+		return 0, 0, ErrArray
+	}
+	n, err = strconv.Atoi(string(b[at+1 : at+i-1]))
+	if err != nil {
+		return 0, 0, ErrArray
+	}
+	return n, at + i + 1, nil
+}
+
+// Array appends an array of bulk strings.
+func Array(dst []byte, parts ...string) []byte {
+	dst = head(dst, '*', len(parts))
+	for _, p := range parts {
+		dst = bulk(dst, p)
+	}
+	return dst
+}
+
+// Do gathers the request for a task: a head made in dst, and the statement as it lies.
+func Do(dst []byte, id, lane string, patienceMS int64, memoryMB float64, rank int, statement []byte) net.Buffers {
+	dst = append(head(dst, '*', 4), "$2\r\ndo\r\n"...)
+	dst = bulk(dst, id)
+	fields := make([]byte, 0, 96)
+	fields = append(append(fields, "kind="...), lane...)
+	fields = strconv.AppendInt(append(fields, ",ms="...), patienceMS, 10)
+	if mb := int64(memoryMB); mb > 0 {
+		fields = strconv.AppendInt(append(fields, ",mem="...), mb, 10)
+	}
+	fields = strconv.AppendInt(append(fields, ",prio="...), int64(rank), 10)
+	dst = bulk(dst, fields)
+	dst = head(dst, '$', len(statement))
+	return net.Buffers{dst, statement, []byte("\r\n")}
+}
+
+func head(dst []byte, mark byte, n int) []byte {
+	return append(strconv.AppendInt(append(dst, mark), int64(n), 10), '\r', '\n')
+}
+
+func bulk[T string | []byte](dst []byte, s T) []byte {
+	return append(append(head(dst, '$', len(s)), s...), '\r', '\n')
+}
+
+// Field finds a field's value in a list name=value,name=value; - is the empty list.
+func Field(fields []byte, name string) []byte {
+	for len(fields) > 0 {
+		var field []byte
+		field, fields, _ = bytes.Cut(fields, []byte{','})
+		if n, value, ok := bytes.Cut(field, []byte{'='}); ok && string(n) == name {
+			return value
+		}
+	}
+	return nil
+}
+
+// Number is a field's value as a number, 0 where there is none.
+func Number(fields []byte, name string) float64 {
+	v, err := strconv.ParseFloat(string(Field(fields, name)), 64)
+	if err != nil || v != v {
+		return 0
+	}
+	return v
+}
+
+// News reads a note about a running task; ok tells whether it is one we know.
+func News(fields []byte) (news admission.News, value float64, ok bool) {
+	switch string(Field(fields, "res")) {
+	case "so_far":
+		news = admission.Progress
+	case "lacking":
+		news = admission.Spills
+	case "waiting":
+		news = admission.Waits
+	default:
+		return 0, 0, false
+	}
+	return news, Number(fields, "v"), true
+}
+
+// Report reads an engine's load report, as in inflight:7;util:0.61.
+func Report(fields []byte) admission.Report {
+	r := admission.NoReport
+	rest := Field(fields, "gauges")
+	for len(rest) > 0 {
+		var gauge []byte
+		gauge, rest, _ = bytes.Cut(rest, []byte{';'})
+		name, value, _ := bytes.Cut(gauge, []byte{':'})
+		v, err := strconv.ParseFloat(string(value), 64)
+		if err != nil || v != v {
+			continue
+		}
+		switch string(name) {
+		case "inflight":
+			r.Held = v
+		case "util":
+			r.Util = v
+		case "x0":
+			r.Memory = v
+		case "x1":
+			r.Disks = v
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/router/engine.go
@@ -0,0 +1,348 @@
+package router
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/resp"
+)
+
+// handOff is one hand-off of a task to an engine. The owner has n, over and stop; mu of the engine guards what
+// stands below it.
+type handOff struct {
+	session   *session
+	engine    *engine
+	task      admission.TaskID
+	n         int
+	over      bool
+	stop      func()
+	lane      string
+	statement []byte
+	patience  admission.Time
+	memory    float64
+	state     atomic.Int32
+
+	rank    int
+	link    *link
+	undone  bool
+	pages   [][]byte // of the result, once its first page is there
+	missing int
+	work    admission.Time
+	needs   float64
+}
+
+// The states of a hand-off on its way to the socket.
+const (
+	fresh int32 = iota
+	written
+	withdrawn
+)
+
+// withdraw keeps a hand-off that isn't written yet from being so.
+func (h *handOff) withdraw() bool { return h.state.CompareAndSwap(fresh, withdrawn) }
+
+// engine is one engine's connections. Hand-offs share them, as many on one as the site allows; probes have one
+// of their own.
+type engine struct {
+	o       *owner
+	name    admission.EngineID
+	address string
+	bell    chan struct{} // rung for a probe
+	mu      sync.Mutex
+	links   []*link
+	retired bool
+}
+
+// link is a connection for hand-offs.
+type link struct {
+	e       *engine
+	open    map[admission.TaskID]*handOff // also those undone, whose answers may still come
+	waiting []*handOff                    // until it is up
+	tcp     net.Conn
+	used    time.Time
+	writing sync.Mutex
+}
+
+func newEngine(o *owner, name admission.EngineID, address string) *engine {
+	e := &engine{o: o, name: name, address: address, bell: make(chan struct{}, 1)}
+	go (&prober{e: e}).serve()
+	return e
+}
+
+// retire ends the probes; connections end once they are idle.
+func (e *engine) retire() {
+	e.mu.Lock()
+	e.retired = true
+	e.mu.Unlock()
+	close(e.bell)
+}
+
+// send puts a hand-off on a connection with room where its task's answers can't be mistaken for an earlier
+// hand-off's, or on a new one.
+func (e *engine) send(h *handOff) {
+	e.mu.Lock()
+	for _, l := range e.links {
+		if len(l.open) < e.o.network.Streams && l.open[h.task] == nil {
+			h.link = l
+			break
+		}
+	}
+	if h.link == nil {
+		h.link = &link{e: e, open: map[admission.TaskID]*handOff{}}
+		e.links = append(e.links, h.link)
+		go h.link.serve()
+	}
+	l := h.link
+	l.open[h.task], l.used = h, time.Now()
+	up := l.tcp != nil
+	if !up {
+		h.statement = append([]byte(nil), h.statement...) // the session may read on before it is written
+		l.waiting = append(l.waiting, h)
+	}
+	e.mu.Unlock()
+	if up {
+		l.do(h)
+	}
+}
+
+func (l *link) do(h *handOff) {
+	l.write(func() net.Buffers {
+		if !h.state.CompareAndSwap(fresh, written) {
+			return nil
+		}
+		return resp.Do(make([]byte, 0, 256), string(h.task), h.lane, max(1, int64(h.patience/admission.Millisecond)),
+			h.memory, h.rank, h.statement)
+	})
+}
+
+// write gathers buffers into the connection. One that takes no more within the time in which connections come
+// up is given up, and its reader ends it.
+func (l *link) write(make func() net.Buffers) {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	if buffers := make(); buffers != nil {
+		l.tcp.SetWriteDeadline(time.Now().Add(l.e.o.network.ConnectWithin))
+		if _, err := buffers.WriteTo(l.tcp); err != nil {
+			l.tcp.Close()
+		}
+	}
+}
+
+func (l *link) say(words ...string) {
+	l.write(func() net.Buffers { return net.Buffers{resp.Array(nil, words...)} })
+}
+
+// undo gives a hand-off up, or the pages of its result that are still to come.
+func (h *handOff) undo() {
+	l := h.link
+	l.e.mu.Lock()
+	open := l.open[h.task] == h && !h.undone && h.state.Load() == written
+	h.undone = true
+	word := "undo"
+	if h.pages != nil {
+		word = "forget"
+	}
+	l.e.mu.Unlock()
+	if open {
+		l.say(word, string(h.task))
+	}
+}
+
+// bump gives a hand-off another rank.
+func (h *handOff) bump(rank int) {
+	l := h.link
+	l.e.mu.Lock()
+	h.rank = rank
+	open := l.open[h.task] == h && h.state.Load() == written
+	l.e.mu.Unlock()
+	if open {
+		l.say("bump", string(h.task), strconv.Itoa(rank))
+	}
+}
+
+// forget drops what was kept to tell late answers; the task is over, and its id doesn't come again.
+func (h *handOff) forget() {
+	l := h.link
+	l.e.mu.Lock()
+	if l.open[h.task] == h {
+		delete(l.open, h.task)
+	}
+	l.e.mu.Unlock()
+}
+
+// serve dials the connection, writes what waited for it and reads answers until it ends.
+func (l *link) serve() {
+	e := l.e
+	code := "panic"
+	defer func() {
+		e.mu.Lock()
+		open := l.open
+		l.open = nil
+		for i := range e.links {
+			if e.links[i] == l {
+				e.links = append(e.links[:i], e.links[i+1:]...)
+				break
+			}
+		}
+		e.mu.Unlock()
+		for _, h := range open {
+			how := admission.Reset
+			if h.withdraw() {
+				how = admission.Unreachable
+			}
+			e.o.tell(func(now admission.Time) { e.o.ended(now, h, how, 0, 0) })
+		}
+		e.o.connectionEnded("engine", string(e.name), code, len(open), recover())
+	}()
+	tcp, err := net.DialTimeout("tcp", e.address, e.o.network.ConnectWithin)
+	if err != nil {
+		code = endCode(err)
+		return
+	}
+	defer tcp.Close()
+	e.mu.Lock()
+	l.tcp = tcp
+	waiting := l.waiting
+	l.waiting = nil
+	e.mu.Unlock()
+	for _, h := range waiting {
+		l.do(h)
+	}
+	code = l.read()
+}
+
+// read takes in answers. A connection left idle is closed before the engine would, so that no hand-off crosses
+// its close.
+func (l *link) read() (code string) {
+	idle := max(l.e.o.network.IdleClose-l.e.o.network.ConnectWithin, l.e.o.network.IdleClose/2)
+	r := bufio.NewReaderSize(l.tcp, 2*resp.MostArray)
+	var parts [][]byte
+	for {
+		b, _ := r.Peek(r.Buffered())
+		var n int
+		var err error
+		if parts, n, err = resp.Parse(b, parts[:0]); err != nil {
+			return "bad_answer"
+		}
+		if n > 0 {
+			if len(parts) < 2 {
+				return "bad_answer"
+			}
+			l.answer(parts)
+			r.Discard(n)
+			continue
+		}
+		l.tcp.SetReadDeadline(time.Now().Add(idle))
+		if _, err = r.Peek(len(b) + 1); errors.Is(err, os.ErrDeadlineExceeded) {
+			if l.restUnused(idle) {
+				return "idle"
+			}
+		} else if err != nil {
+			return endCode(err)
+		}
+	}
+}
+
+// restUnused takes a connection out of use if nothing was on it for a while.
+func (l *link) restUnused(idle time.Duration) bool {
+	l.e.mu.Lock()
+	defer l.e.mu.Unlock()
+	if len(l.open) > 0 || time.Since(l.used) < idle {
+		return false
+	}
+	for i := range l.e.links {
+		if l.e.links[i] == l {
+			l.e.links = append(l.e.links[:i], l.e.links[i+1:]...)
+			break
+		}
+	}
+	return true
+}
+
+// answer takes in one answer: its id, its word, and fields and body where it has them.
+func (l *link) answer(parts [][]byte) {
+	e := l.e
+	task := admission.TaskID(parts[0])
+	var fields, body []byte
+	if len(parts) > 2 {
+		fields = parts[2]
+	}
+	if len(parts) > 3 {
+		body = parts[3]
+	}
+	e.mu.Lock()
+	h := l.open[task]
+	e.mu.Unlock()
+	if h == nil {
+		return // it came too late
+	}
+	switch string(parts[1]) {
+	case "news":
+		if news, value, ok := resp.News(fields); ok {
+			e.o.tell(func(now admission.Time) { e.o.module.Noted(now, task, h.n, news, value) })
+		}
+	case "data":
+		h.work = admission.Time(resp.Number(fields, "cost") * float64(admission.Millisecond))
+		h.needs = resp.Number(fields, "need")
+		l.page(h, max(1, int(resp.Number(fields, "pages"))), 0, body)
+	case "page":
+		l.page(h, 0, int(resp.Number(fields, "page")), body)
+	case "full":
+		l.ended(h, admission.Full)
+	case "moot":
+		l.ended(h, admission.Moot)
+	default:
+		l.ended(h, admission.Errored)
+	}
+}
+
+// mostPages is how many pages a result can have: more than its longest takes.
+const mostPages = 64
+
+// page keeps a page of a result. With the first one the others are asked for; with the last one it is whole.
+func (l *link) page(h *handOff, all, n int, body []byte) {
+	l.e.mu.Lock()
+	first := h.pages == nil && all > 0 && all <= mostPages
+	if first {
+		h.pages, h.missing = make([][]byte, all), all
+	}
+	if n < 0 || n >= len(h.pages) || h.pages[n] != nil {
+		l.e.mu.Unlock()
+		return
+	}
+	h.pages[n] = append([]byte{}, body...)
+	h.missing--
+	whole, undone := h.missing == 0, h.undone
+	l.e.mu.Unlock()
+	if whole {
+		l.ended(h, admission.Delivered)
+	} else if first && !undone {
+		l.write(func() net.Buffers {
+			var asks []byte
+			for k := 1; k < all; k++ {
+				asks = append(asks, resp.Array(nil, "page", string(h.task), strconv.Itoa(k))...)
+			}
+			return net.Buffers{asks}
+		})
+	}
+}
+
+// ended takes a hand-off that has its last answer off the connection.
+func (l *link) ended(h *handOff, how admission.Outcome) {
+	l.e.mu.Lock()
+	delete(l.open, h.task)
+	l.used = time.Now()
+	work, needs := h.work, h.needs
+	l.e.mu.Unlock()
+	if how != admission.Delivered {
+		work, needs = 0, 0
+	}
+	l.e.o.tell(func(now admission.Time) { l.e.o.ended(now, h, how, work, needs) })
+}
--- /dev/null
+++ b/internal/router/owner.go
@@ -0,0 +1,131 @@
+package router
+
+import (
+	"log/slog"
+	"slices"
+	"sync/atomic"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/deployment"
+)
+
+// owner is the one goroutine that calls the module. Sockets reach it through its inbox, and it reaches them
+// through the mailboxes of sessions and the bells of engines; it never waits for either.
+type owner struct {
+	open     atomic.Int64 // queries that wait for their final answer to be written
+	clock    Clock
+	inbox    *mailbox
+	log      *slog.Logger
+	network  *deployment.Network
+	now      admission.Time
+	module   *admission.Router
+	sessions map[uint32]*session           // by connection id
+	tasks    map[admission.TaskID]*session // taken and without a final answer
+	engines  map[admission.EngineID]*engine
+}
+
+func newOwner(start *deployment.Start, clock Clock, log *slog.Logger) *owner {
+	o := &owner{clock: clock, inbox: newMailbox(), log: log, network: start.Network, now: clock.Now(),
+		sessions: map[uint32]*session{}, tasks: map[admission.TaskID]*session{},
+		engines: map[admission.EngineID]*engine{}}
+	o.module = admission.New(o.now, start.Seed, start.Site, host{o})
+	return o
+}
+
+// loop makes the calls of the inbox until stop is closed.
+func (o *owner) loop(stop <-chan struct{}) {
+	for {
+		select {
+		case <-o.inbox.wake:
+			o.inbox.run()
+		case <-stop:
+			return
+		}
+	}
+}
+
+// tell queues an event that happened now.
+func (o *owner) tell(event func(now admission.Time)) {
+	at := o.clock.Now()
+	o.inbox.put(func() {
+		o.now = max(o.now, at) // events that raced to the queue are told in its order
+		event(o.now)
+	})
+}
+
+// listed takes in an event of the engine list.
+func (o *owner) listed(now admission.Time, form admission.Form, list []admission.Listing, addresses []string) {
+	if form != admission.Changes {
+		for name, e := range o.engines {
+			if !slices.ContainsFunc(list, func(l admission.Listing) bool { return l.Engine == name }) {
+				e.retire()
+				delete(o.engines, name)
+			}
+		}
+	}
+	for i, l := range list {
+		e := o.engines[l.Engine]
+		if e != nil && (l.State == admission.Gone || addresses[i] != "" && e.address != addresses[i]) {
+			e.retire() // what is out there ends by itself
+			delete(o.engines, l.Engine)
+			e = nil
+		}
+		if e == nil && l.State != admission.Gone {
+			o.engines[l.Engine] = newEngine(o, l.Engine, addresses[i])
+		}
+	}
+	o.module.Listed(now, form, list)
+}
+
+// arrived takes a session's query as a task.
+func (o *owner) arrived(now admission.Time, s *session, lane int, cutoff admission.Time, tables int) {
+	if o.tasks[s.task] != nil {
+		s.mail.put(func() { s.refuse("the id is in use") })
+		return
+	}
+	o.tasks[s.task] = s
+	s.tries, s.out, s.memory, s.rank = 0, nil, 0, 1
+	o.module.Arrived(now, s.task, cutoff, lane, 0, "", tables, 0)
+}
+
+// ended takes in how a hand-off ended; the first end counts, whatever raced with it.
+func (o *owner) ended(now admission.Time, h *handOff, how admission.Outcome, work admission.Time, memory float64) {
+	if h.over {
+		return
+	}
+	h.over = true
+	h.stop()
+	s := h.session
+	s.out = nil
+	switch how {
+	case admission.Delivered:
+		if o.tasks[h.task] == s {
+			o.answer(s, func() { s.deliver(h.pages) })
+		}
+	case admission.TimedOut, admission.Cancelled:
+		if h.withdraw() {
+			how = admission.Unreachable // it was never written
+		}
+		s.mail.put(h.undo)
+	}
+	o.module.Ended(now, h.task, how, how == admission.Delivered, work, memory, admission.NoReport)
+}
+
+// answer gives a task its final answer.
+func (o *owner) answer(s *session, write func()) {
+	delete(o.tasks, s.task)
+	s.mail.put(write)
+}
+
+// killed ends the task of the session whose client stopped waiting.
+func (o *owner) killed(now admission.Time, connection uint32) {
+	s := o.sessions[connection]
+	if s == nil || o.tasks[s.task] != s {
+		return
+	}
+	o.module.ClientGone(now, s.task)
+	if s.out != nil { // nobody waits for it, so its patience is over
+		o.ended(now, s.out, admission.Cancelled, 0, 0)
+	}
+	o.answer(s, s.leave)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,117 @@
+// Package router serves clients on sockets: it joins their sessions, the engines' connections and the engine
+// list to the module that decides.
+package router
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/deployment"
+)
+
+// lastRequests is how long after the order to stop requests still come.
+const lastRequests = 700 * time.Millisecond
+
+// Serve runs a router until stop is closed and all it had taken is answered.
+func Serve(start *deployment.Start, log *slog.Logger, stop <-chan struct{}) error {
+	debug.SetMemoryLimit(int64(start.MemoryMB) << 20 * 3 / 4) // the rest is for stacks and the sockets' buffers
+	o := newOwner(start, newWallClock(), log)
+	f := &follower{o: o, address: start.EngineList}
+	f.remember(start.Known)
+	o.inbox.run()
+	listener, err := net.Listen("tcp", start.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	log.Info("serving", "name", start.Name, "address", start.Listen, "engines", len(o.engines))
+	ended := make(chan struct{})
+	go o.loop(ended)
+	go f.serve(ended)
+	go accept(o, listener, uint32(time.Now().UnixMilli()*10))
+	<-stop
+	log.Info("stopping")
+	time.Sleep(lastRequests)
+	listener.Close()
+	for o.open.Load() > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	close(ended)
+	return nil
+}
+
+// accept starts a session for each client. Connection ids go on from the time of the start, in tenths of a
+// millisecond, so that those of two processes differ.
+func accept(o *owner, listener net.Listener, connection uint32) {
+	for {
+		tcp, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors, as a rule: some are free again soon
+			o.log.Warn("accept", "error", err)
+			time.Sleep(o.network.ConnectWithin)
+			continue
+		}
+		connection++
+		s := &session{o: o, tcp: tcp, r: bufio.NewReaderSize(tcp, 4096), connection: connection,
+			mail: newMailbox()}
+		go s.run()
+	}
+}
+
+// run serves a session from its first byte to its last log line.
+func (s *session) run() {
+	o := s.o
+	o.tell(func(admission.Time) { o.sessions[s.connection] = s })
+	defer func() {
+		o.tell(func(now admission.Time) {
+			o.killed(now, s.connection) // a task it could not see through
+			delete(o.sessions, s.connection)
+		})
+		s.tcp.Close()
+		code, fault := s.code, recover()
+		if fault != nil {
+			code = "panic"
+		}
+		o.connectionEnded("client", s.tcp.RemoteAddr().String(), code, 0, fault)
+	}()
+	s.serve()
+}
+
+// connectionEnded writes the one line of a connection that ended.
+func (o *owner) connectionEnded(side, peer, code string, open int, fault any) {
+	if fault != nil {
+		o.log.Error("connection", "side", side, "peer", peer, "code", "panic", "fault", fault,
+			"stack", string(debug.Stack()))
+		return
+	}
+	o.log.Info("connection", "side", side, "peer", peer, "code", code, "open", open)
+}
+
+// endCode names the reason for which a connection ended.
+func endCode(err error) string {
+	switch {
+	case errors.Is(err, io.EOF):
+		return "closed"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return "reset"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return "silent"
+	case errors.Is(err, net.ErrClosed):
+		return "given_up"
+	case errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+		return "unreachable"
+	}
+	return "failed"
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"magpiebank/internal/admission"
+	"magpiebank/internal/deployment"
+	"magpiebank/internal/sheet"
 )
 
 // tenth is the project's unit of time in the wire's microseconds.
@@ -240,7 +242,11 @@
 	if w.err != nil {
 		return
 	}
-	d, err := readDeployment(w.rest)
+	info, err := sheet.Parse("info", []byte(w.rest))
+	var d *admission.Deployment
+	if err == nil {
+		d, err = deployment.Read(info)
+	}
 	if err != nil {
 		w.err = fmt.Errorf("line %d: boot: %w", w.line, err)
 		return
