A further hand-off waits until the engine has heard that the one before is given up

The undo goes out before the next do, but on another connection, with a longer way; owner.ended told the module of the end at once. The engine answers no undo, but fails a page it doesn't know: that word, or the time in which connections come up, now ends the hand-off.

--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -22,6 +22,7 @@
 	task      admission.TaskID
 	n         int
 	over      bool
+	doubt     admission.Outcome // what the module is told once it is given up; Delivered: nothing
 	stop      func()
 	lane      string
 	statement []byte
@@ -150,8 +151,10 @@
 		word = "forget"
 	}
 	l.e.mu.Unlock()
-	if open {
-		l.say(word, string(h.task))
+	if open { // nothing answers this, but a page that the engine doesn't know is failed: then it has heard it
+		l.write(func() net.Buffers {
+			return net.Buffers{resp.Array(nil, word, string(h.task)), resp.Array(nil, "page", string(h.task), "1")}
+		})
 	}
 }
 
@@ -279,10 +282,17 @@
 	}
 	e.mu.Lock()
 	h := l.open[task]
+	undone := h != nil && h.undone
 	e.mu.Unlock()
 	if h == nil {
 		return // it came too late
 	}
+	if undone { // only the word that it is known no more counts
+		if string(parts[1]) == "failed" {
+			l.ended(h, admission.Errored)
+		}
+		return
+	}
 	switch string(parts[1]) {
 	case "news":
 		if news, value, ok := resp.News(fields); ok {
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -84,13 +84,14 @@
 		return
 	}
 	o.tasks[s.task] = s
-	s.tries, s.out, s.memory, s.rank = 0, nil, 0, 1
+	s.cutoff, s.tries, s.out, s.memory, s.rank = cutoff, 0, nil, 0, 1
 	o.module.Arrived(now, s.task, cutoff, lane, 0, "", tables, 0)
 }
 
 // ended takes in how a hand-off ended; the first end counts, whatever raced with it.
 func (o *owner) ended(now admission.Time, h *handOff, how admission.Outcome, work admission.Time, memory float64) {
 	if h.over {
+		o.givenUp(now, h)
 		return
 	}
 	h.over = true
@@ -103,14 +104,34 @@
 			o.answer(s, func() { s.deliver(h.pages) })
 		}
 	case admission.TimedOut, admission.Cancelled:
-		if h.withdraw() {
-			how = admission.Unreachable // it was never written
+		if s.mail.put(h.undo); !h.withdraw() {
+			h.doubt = how
+			h.stop = o.clock.After(o.undoWithin(now, s), func() {
+				o.tell(func(now admission.Time) { o.givenUp(now, h) })
+			})
+			return
 		}
-		s.mail.put(h.undo)
+		how = admission.Unreachable // it was never written
 	}
 	o.module.Ended(now, h.task, how, how == admission.Delivered, work, memory, admission.NoReport)
 }
 
+// undoWithin is how long to wait for an engine's word that a hand-off is given up there: a further one that
+// overtook the undo on another connection would be a second copy. It is as long as a connection may take to
+// come up, and never past the cut-off, after which nothing is sent.
+func (o *owner) undoWithin(now admission.Time, s *session) admission.Time {
+	return max(0, min(admission.Time(o.network.ConnectWithin/tenth), s.cutoff-now))
+}
+
+// givenUp tells the module of a hand-off that was called off or timed out, once the engine has heard of it.
+func (o *owner) givenUp(now admission.Time, h *handOff) {
+	if how := h.doubt; how != admission.Delivered {
+		h.doubt = admission.Delivered
+		h.stop()
+		o.module.Ended(now, h.task, how, false, 0, 0, admission.NoReport)
+	}
+}
+
 // answer gives a task its final answer.
 func (o *owner) answer(s *session, write func()) {
 	delete(o.tasks, s.task)
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -34,6 +34,7 @@
 	made      []*handOff
 
 	// The owner's part of it.
+	cutoff admission.Time
 	tries  int
 	out    *handOff
 	memory float64
