--- a/internal/enginelist/enginelist.go
+++ b/internal/enginelist/enginelist.go
@@ -116,6 +116,9 @@
 				Group:  int(s.Num(entry("cell")...)),
 				Since:  admission.Time(s.Num(entry("started_ms")...)) * admission.Millisecond,
 			}
+			if l.Engine == "" {
+				continue
+			}
 			switch s.Text(entry("state")...) {
 			case "Ready":
 				l.State = admission.Live
--- /dev/null
+++ b/internal/mysql/mysql_test.go
@@ -0,0 +1,175 @@
+package mysql
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"testing"
+)
+
+func ExampleStatement() {
+	class, id, wait, body, err := Statement([]byte(
+		"/* class=report,id=9b1f03aa5c7e2d41,wait=1500,retry=1 */ SELECT day FROM sales_17.orders"))
+	fmt.Printf("%s %s %d [%s] %v\n", class, id, wait, body, err)
+	// Output: report 9b1f03aa5c7e2d41 1500 [SELECT day FROM sales_17.orders] <nil>
+}
+
+func ExampleRows() {
+	rows, number, err := Rows(nil, 5, []byte("mon\t3\tx\ntue\t\tlong\n"))
+	fmt.Printf("%q next %d, %v\n", rows, number, err)
+	_, _, err = Rows(nil, 5, []byte("mon\t3\tx\ntue\t4"))
+	fmt.Println(err)
+	// Output:
+	// "\b\x00\x00\x05\x03mon\x013\x01x\n\x00\x00\x06\x03tue\x00\x04long" next 7, <nil>
+	// malformed rows
+}
+
+func ExampleNack() {
+	fmt.Printf("%q\n", Nack(nil, 1, 250))
+	fmt.Printf("%q\n", Error(nil, 1, ErrWrittenOff, "written off"))
+	// Output:
+	// "\x1f\x00\x00\x01\xff\xb3\x04#42000no room now, after=250"
+	// "\x14\x00\x00\x01\xff%\x05#70100written off"
+}
+
+func ExampleGreeting() {
+	greeting := Greeting(nil, 7, &[20]byte{0: 'a', 7: 'h', 8: 'i', 19: 't'})
+	fmt.Printf("%q\n", greeting)
+	// Output: "U\x00\x00\x00\n8.0.36-magpiebank\x00\a\x00\x00\x00a\x00\x00\x00\x00\x00\x00h\x00\t\xa2!\x02\x00\b\x00\x15\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00i\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00t\x00mysql_native_password\x00"
+}
+
+func ExampleColumns() {
+	head, number := Columns(nil, 1)
+	fmt.Printf("%q\nnext %d\n%q\n", head[:38], number, EndRows(nil, number))
+	// Output:
+	// "\x01\x00\x00\x01\x03\x1a\x00\x00\x02\x03def\x00\x00\x00\x02c1\x02c1\f!\x00\xff\xff\x00\x00\xfd\x00\x00\x00\x00\x00\x1a\x00\x00"
+	// next 6
+	// "\x05\x00\x00\x06\xfe\x00\x00\x02\x00"
+}
+
+// loginPacket is a client's first packet without its head.
+func loginPacket(flags uint32, rest string) []byte {
+	b := make([]byte, loginFixedSize)
+	b[0], b[1], b[2], b[3] = byte(flags), byte(flags>>8), byte(flags>>16), byte(flags>>24)
+	return append(b, rest...)
+}
+
+func TestLogin(t *testing.T) {
+	const secure = protocol41 | secureLogin | withDatabase
+	for _, c := range []struct {
+		packet               []byte
+		user, password, base string
+		err                  error
+	}{
+		{loginPacket(secure, "app\x00\x00reports\x00mysql_native_password\x00"), "app", "", "reports", nil},
+		{loginPacket(secure, "app\x00\x03abcreports"), "app", "abc", "reports", nil},
+		{loginPacket(protocol41|secureLogin, "app\x00\x00"), "app", "", "", nil},
+		{loginPacket(protocol41, "app\x00\x00"), "app", "", "", nil},
+		{loginPacket(secure, "app\x00\x09abc"), "", "", "", ErrLogin},
+		{loginPacket(secure, "app"), "", "", "", ErrLogin},
+		{loginPacket(secureLogin, "app\x00\x00"), "", "", "", ErrLogin},
+		{[]byte("short"), "", "", "", ErrLogin},
+	} {
+		user, password, base, err := Login(c.packet)
+		if string(user) != c.user || string(password) != c.password || string(base) != c.base || err != c.err {
+			t.Errorf("%q: got %q %q %q %v", c.packet, user, password, base, err)
+		}
+	}
+}
+
+func TestStatementAmiss(t *testing.T) {
+	for _, c := range []struct {
+		sql  string
+		want error
+	}{
+		{"SELECT 1", ErrFields},
+		{"/* class=a,id=0123456789abcdef,wait=5", ErrFields},
+		{"/* id=0123456789abcdef,wait=5 */ SELECT 1", ErrClass},
+		{"/* class=a,wait=5 */ SELECT 1", ErrID},
+		{"/* class=a,id=0123456789abcdeg,wait=5 */ SELECT 1", ErrID},
+		{"/* class=a,id=0123456789abcdef */ SELECT 1", ErrWait},
+		{"/* class=a,id=0123456789abcdef,wait=-5 */ SELECT 1", ErrWait},
+		{"/* class=a,id=0123456789abcdef,wait=soon */ SELECT 1", ErrWait},
+		{"/* class=a,id=0123456789abcdef,wait=99999999999 */ SELECT 1", ErrWait},
+	} {
+		if _, _, _, _, err := Statement([]byte(c.sql)); err != c.want {
+			t.Errorf("%s: got %v, want %v", c.sql, err, c.want)
+		}
+	}
+}
+
+func TestTables(t *testing.T) {
+	for sql, want := range map[string]int{
+		"SELECT day FROM sales_17.orders WHERE tag = '3f9c'":      17,
+		"SELECT day FROM `sales_17`.`orders`":                     17,
+		"SELECT day FROM\n\tsales_17 . orders o":                  17,
+		"select 'from a_1.b', \"from a_2.b\" from sales_3.orders": 3,
+		"SELECT 'it''s from a_1.b' FROM sales_4.x":                4,
+		`SELECT 'it\'s from a_1.b' FROM sales_5.x`:                5,
+		"SELECT 1 /* FROM a_1.b */ FROM sales_6.x":                6,
+		"SELECT 1 -- FROM a_1.b\nFROM sales_7.x":                  7,
+		"SELECT 1 # FROM a_1.b\nFROM sales_8.x":                   8,
+		"SELECT 1--1 FROM sales_9.x":                              9,
+		"INSERT INTO sales_10.x SELECT * FROM staging.y_3":        10,
+		"INSERT INTO staging.x SELECT * FROM sales_11.y":          11,
+		"INSERT IGNORE INTO sales_12.x VALUES ('a_1.b')":          12,
+		"UPDATE sales_13.x SET a = 1":                             13,
+		"DELETE FROM sales_14.x":                                  14,
+		"SELECT t_9.a FROM sales_15.x t_9 WHERE t_9.a = 1":        15,
+		"SELECT a FROM staging.x_2, sales_16.y":                   16,
+		"SELECT a FROM (SELECT b FROM sales_18.x) q_1":            18,
+		"SELECT a FROM x JOIN sales_19.y ON a_2.b = 1":            19,
+		"LOAD DATA INFILE 'a_1.b' INTO TABLE sales_20.x":          20,
+		"SELECT a FROM north_sales_21.x":                          21,
+		"SELECT 1 FROM sales_.x":                                  0, "SELECT 1": 0, "SELECT 'open": 0, "SELECT `a": 0, "/* open": 0, "": 0,
+	} {
+		if got := Tables([]byte(sql)); got != want {
+			t.Errorf("%q: got %d, want %d", sql, got, want)
+		}
+	}
+}
+
+func TestKill(t *testing.T) {
+	for sql, want := range map[string]uint32{"KILL QUERY 77": 77, "kill query 4294967295;": 1<<32 - 1} {
+		if got, ok := Kill([]byte(sql)); !ok || got != want {
+			t.Errorf("%q: got %d, %v", sql, got, ok)
+		}
+	}
+	for _, sql := range []string{"KILL 77", "KILL QUERY", "KILL QUERY x", "KILL QUERY 4294967296", "SELECT 1 2"} {
+		if _, ok := Kill([]byte(sql)); ok {
+			t.Errorf("%q: taken for one", sql)
+		}
+	}
+}
+
+func FuzzStatement(f *testing.F) {
+	f.Add([]byte("/* class=a,id=0123456789abcdef,wait=5 */ SELECT `x`, 'y\\'' FROM a_1.b -- c"))
+	f.Add([]byte("INSERT INTO `staging`.x SELECT \"\" FROM # \n a_2 . `b"))
+	f.Fuzz(func(t *testing.T, sql []byte) {
+		Tables(sql)
+		Kill(sql)
+		if _, id, wait, body, err := Statement(sql); err == nil &&
+			(len(id) != 16 || wait <= 0 || !bytes.HasSuffix(sql, body)) {
+			t.Errorf("%q: id %q, wait %d, body %q", sql, id, wait, body)
+		}
+	})
+}
+
+func FuzzPackets(f *testing.F) {
+	f.Add([]byte("a\tb\tc\n"))
+	f.Add(loginPacket(protocol41|secureLogin, "app\x00\x00"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		Login(b)
+		rows, _, err := Rows(nil, 0, b)
+		if err != nil && !errors.Is(err, ErrRows) {
+			t.Error(err)
+		}
+		for n := 0; len(rows) > 0; n++ {
+			length, number := Head(rows)
+			if number != byte(n) || length > len(rows)-HeadSize {
+				t.Fatalf("packet %d has number %d and length %d of %d", n, number, length, len(rows)-HeadSize)
+			}
+			rows = rows[HeadSize+length:]
+		}
+	})
+}
--- /dev/null
+++ b/internal/resp/resp_test.go
@@ -0,0 +1,83 @@
+package resp
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"magpiebank/internal/admission"
+)
+
+func ExampleDo() {
+	b := Do(nil, "9b1f03aa5c7e2d41", "report", 1500, 640, 2, []byte("SELECT 1"))
+	fmt.Printf("%q\n", bytes.Join(b, nil))
+	b = Do(nil, "9b1f03aa5c7e2d41", "report", 1500, 0, 1, nil)
+	fmt.Printf("%q\n", bytes.Join(b, nil))
+	// Output:
+	// "*4\r\n$2\r\ndo\r\n$16\r\n9b1f03aa5c7e2d41\r\n$34\r\nkind=report,ms=1500,mem=640,prio=2\r\n$8\r\nSELECT 1\r\n"
+	// "*4\r\n$2\r\ndo\r\n$16\r\n9b1f03aa5c7e2d41\r\n$26\r\nkind=report,ms=1500,prio=1\r\n$0\r\n\r\n"
+}
+
+func ExampleParse() {
+	b := append(Array(nil, "id1", "data", "pages=2,cost=31,need=12", "a\tb\tc\n"), Array(nil, "id2", "full")...)
+	for len(b) > 0 {
+		parts, n, err := Parse(b, nil)
+		fmt.Printf("%q %d %v\n", parts, n, err)
+		b = b[n:]
+	}
+	parts, n, err := Parse(Array(nil, "id1", "data")[:20], nil)
+	fmt.Println(len(parts) < 2, n, err)
+	// Output:
+	// ["id1" "data" "pages=2,cost=31,need=12" "a\tb\tc\n"] 65 <nil>
+	// ["id2" "full"] 23 <nil>
+	// true 0 <nil>
+}
+
+func TestMalformed(t *testing.T) {
+	for _, b := range []string{"+OK\r\n", "*0\r\n", "*-1\r\n", "*99\r\n", "*1\r\n:5\r\n", "*1\r\n$-1\r\n", "*1\r\n$1\r\nab\r\n",
+		"*1\r\n$99999999\r\n", "*x\r\n", "*1\n", "*111111111111111111111"} {
+		if _, n, err := Parse([]byte(b), nil); err != ErrArray || n != 0 {
+			t.Errorf("%q: got %d, %v", b, n, err)
+		}
+	}
+}
+
+func TestFields(t *testing.T) {
+	fields := []byte("pages=3,cost=1.5,res=so_far,v=0.25,gauges=inflight:7;util:0.61;x0:0.5;x1:0.75;new:1;bad:x")
+	if got, want := Report(fields), (admission.Report{Held: 7, Util: 0.61, Memory: 0.5, Disks: 0.75}); got != want {
+		t.Errorf("report: got %v", got)
+	}
+	if news, v, ok := News(fields); news != admission.Progress || v != 0.25 || !ok {
+		t.Errorf("news: got %v %v %v", news, v, ok)
+	}
+	if got := Number(fields, "cost"); got != 1.5 {
+		t.Errorf("cost: got %v", got)
+	}
+	for _, empty := range []string{"-", "", "res", "=", "gauges=,res=other"} {
+		if _, _, ok := News([]byte(empty)); ok || Report([]byte(empty)) != admission.NoReport ||
+			Number([]byte(empty), "cost") != 0 {
+			t.Errorf("%q has something", empty)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(Array(nil, "id1", "data", "pages=2,gauges=util:0.5", "a\tb\tc\n"))
+	f.Add([]byte("*1\r\n$-1\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		parts, n, err := Parse(b, nil)
+		if err != nil || n == 0 {
+			return
+		}
+		for _, p := range parts {
+			News(p)
+			Report(p)
+		}
+		if again, _, err := Parse(b[:n], nil); err != nil || len(again) != len(parts) {
+			t.Errorf("%q: %d parts, then %d, %v", b[:n], len(parts), len(again), err)
+		}
+		if _, short, _ := Parse(b[:n-1], nil); short != 0 {
+			t.Errorf("%q: whole without its last byte", b[:n])
+		}
+	})
+}
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -68,6 +68,7 @@
 	waiting []*handOff                    // until it is up
 	tcp     net.Conn
 	used    time.Time
+	asked   time.Time // when an undo went out; zero once anything is heard
 	writing sync.Mutex
 }
 
@@ -90,7 +91,7 @@
 func (e *engine) send(h *handOff) {
 	e.mu.Lock()
 	for _, l := range e.links {
-		if len(l.open) < e.o.network.Streams && l.open[h.task] == nil {
+		if len(l.open) < e.o.network.Streams && l.open[h.task] == nil && !l.silent() {
 			h.link = l
 			break
 		}
@@ -113,13 +114,22 @@
 	}
 }
 
+// silent tells of a connection on which nothing came after an undo, not even the word that it was heard: the
+// machine behind it may be gone without a sign, and a new connection tells that sooner than a time-out.
+func (l *link) silent() bool {
+	return !l.asked.IsZero() && time.Since(l.asked) > l.e.o.network.ConnectWithin
+}
+
 func (l *link) do(h *handOff) {
+	l.e.mu.Lock()
+	rank := h.rank
+	l.e.mu.Unlock()
 	l.write(func() net.Buffers {
 		if !h.state.CompareAndSwap(fresh, written) {
 			return nil
 		}
 		return resp.Do(make([]byte, 0, 256), string(h.task), h.lane, max(1, int64(h.patience/admission.Millisecond)),
-			h.memory, h.rank, h.statement)
+			h.memory, rank, h.statement)
 	})
 }
 
@@ -145,7 +155,9 @@
 	l := h.link
 	l.e.mu.Lock()
 	open := l.open[h.task] == h && !h.undone && h.state.Load() == written
-	h.undone = true
+	if h.undone = true; open && l.asked.IsZero() {
+		l.asked = time.Now()
+	}
 	word := "undo"
 	if h.pages != nil {
 		word = "forget"
@@ -281,6 +293,7 @@
 		body = parts[3]
 	}
 	e.mu.Lock()
+	l.asked = time.Time{}
 	h := l.open[task]
 	undone := h != nil && h.undone
 	e.mu.Unlock()
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -17,9 +17,7 @@
 	held    int64 // number of the last event
 }
 
-// remember tells the events that came with the configuration.
-func (f *follower) remember(known *sheet.Sheet) { f.tell(known, admission.Remembered) }
-
+// tell takes in events; whole is the form of those that hold the whole list.
 func (f *follower) tell(s *sheet.Sheet, whole admission.Form) {
 	f.held = enginelist.Events(s, f.held, f.o.network.Zones, f.o.network.Kinds,
 		func(all bool, list []admission.Listing, addresses []string) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,7 +9,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"os"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -24,33 +23,35 @@
 // Serve runs a router until stop is closed and all it had taken is answered.
 func Serve(start *deployment.Start, log *slog.Logger, stop <-chan struct{}) error {
 	debug.SetMemoryLimit(int64(start.MemoryMB) << 20 * 3 / 4) // the rest is for stacks and the sockets' buffers
-	o := newOwner(start, newWallClock(), log)
-	f := &follower{o: o, address: start.EngineList}
-	f.remember(start.Known)
-	o.inbox.run()
 	listener, err := net.Listen("tcp", start.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	log.Info("serving", "name", start.Name, "address", start.Listen, "engines", len(o.engines))
+	newOwner(start, newWallClock(), log).serve(start, listener, stop)
+	return nil
+}
+
+func (o *owner) serve(start *deployment.Start, listener net.Listener, stop <-chan struct{}) {
+	f := &follower{o: o, address: start.EngineList}
+	f.tell(start.Known, admission.Remembered)
+	o.log.Info("serving", "name", start.Name, "address", listener.Addr().String())
 	ended := make(chan struct{})
 	go o.loop(ended)
 	go f.serve(ended)
-	go accept(o, listener, uint32(time.Now().UnixMilli()*10))
+	go o.accept(listener, uint32(time.Now().UnixMilli()*10))
 	<-stop
-	log.Info("stopping")
+	o.log.Info("stopping")
 	time.Sleep(lastRequests)
 	listener.Close()
 	for o.open.Load() > 0 {
 		time.Sleep(10 * time.Millisecond)
 	}
 	close(ended)
-	return nil
 }
 
 // accept starts a session for each client. Connection ids go on from the time of the start, in tenths of a
 // millisecond, so that those of two processes differ.
-func accept(o *owner, listener net.Listener, connection uint32) {
+func (o *owner) accept(listener net.Listener, connection uint32) {
 	for {
 		tcp, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -99,6 +100,7 @@
 
 // endCode names the reason for which a connection ended.
 func endCode(err error) string {
+	var wait net.Error
 	switch {
 	case errors.Is(err, io.EOF):
 		return "closed"
@@ -106,7 +108,7 @@
 		return "refused"
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
 		return "reset"
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.As(err, &wait) && wait.Timeout():
 		return "silent"
 	case errors.Is(err, net.ErrClosed):
 		return "given_up"
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,655 @@
+package router
+
+import (
+	"bufio"
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/deployment"
+	"magpiebank/internal/mysql"
+	"magpiebank/internal/resp"
+)
+
+var keep = flag.Bool("keep", false, "keep the traces as they come out now")
+
+// handClock stands still until a script moves it.
+type handClock struct {
+	mu     sync.Mutex
+	now    admission.Time
+	timers map[*handTimer]bool
+}
+
+type handTimer struct {
+	at admission.Time
+	f  func()
+}
+
+func (c *handClock) Now() admission.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *handClock) After(d admission.Time, f func()) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := &handTimer{c.now + max(0, d), f}
+	c.timers[t] = true
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.timers, t)
+	}
+}
+
+// next takes out the earliest timer up to a time and moves the clock to it.
+func (c *handClock) next(until admission.Time) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var first *handTimer
+	for t := range c.timers {
+		if t.at <= until && (first == nil || t.at < first.at) {
+			first = t
+		}
+	}
+	if first == nil {
+		c.now = until
+		return nil
+	}
+	delete(c.timers, first)
+	c.now = max(c.now, first.at)
+	return first.f
+}
+
+// stage is a router on loopback between clients, engines and an engine list that a script plays.
+type stage struct {
+	t      *testing.T
+	clock  *handClock
+	o      *owner
+	stop   chan struct{}
+	ended  chan struct{}
+	out    strings.Builder
+	log    lockedBuffer
+	addr   string
+	list   chan string // events to come
+	polls  chan string // polls that came
+	held   int
+	things []io.Closer
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+const settings = `{"fleetSize":1,"zones":["hall"],"skus":["std"],
+ "classes":[{"name":"look","sloUs":1000000,"worth":1,"effect":"read_like"},
+  {"name":"load","sloUs":4000000,"lateWorth":0.5,"worth":10,"effect":"non_idempotent"}],
+ "familyInfo":{"dop":[1,2],"kindCores":[8],"saysCost":true,"grants":true,"whenShort":"swap"},
+ "limits":{"cancel":true,"maxAttempts":4,"multiplex":2,"keepaliveUs":30000000,"connectTimeoutUs":250000,
+  "retryAfter":true,"maxRetryAfterUs":2000000},"rules":{}}`
+
+// play starts a router that knows the given engines.
+func play(t *testing.T, engines ...*standEngine) *stage {
+	s := &stage{t: t, clock: &handClock{now: 17e12, timers: map[*handTimer]bool{}}, stop: make(chan struct{}),
+		ended: make(chan struct{}), list: make(chan string, 8), polls: make(chan string, 8), held: 1}
+	var servers []string
+	for _, e := range engines {
+		e.s = s
+		servers = append(servers, entry(e, "Ready"))
+	}
+	path := filepath.Join(t.TempDir(), "configuration.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"memory_mb":192},
+	 "coordinator":%q,"known":{"index":1,"updates":[%s]},"settings":%s}`, s.engineList(), event(1, true, servers), settings)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	start, err := deployment.ReadStart(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := s.listen()
+	s.addr = listener.Addr().String()
+	s.o = newOwner(start, s.clock, slog.New(slog.NewTextHandler(&s.log, nil)))
+	go func() {
+		s.o.serve(start, listener, s.stop)
+		close(s.ended)
+	}()
+	return s
+}
+
+func (s *stage) listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.things = append(s.things, l)
+	return l
+}
+
+func entry(e *standEngine, state string) string {
+	return fmt.Sprintf(`{"id":%q,"addr":%q,"zone":"hall","kind":"std","cell":0,"state":%q,"started_ms":0}`,
+		e.name, e.l.Addr(), state)
+}
+
+func event(index int, full bool, servers []string) string {
+	return fmt.Sprintf(`{"index":%d,"endpoints":{"full":%v,"servers":[%s]}}`, index, full, strings.Join(servers, ","))
+}
+
+// engineList answers polls with the events that the script tells, or with none before they are given up.
+func (s *stage) engineList() string {
+	l := s.listen()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					line, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if !strings.HasPrefix(line, "GET ") {
+						continue
+					}
+					s.polls <- line
+					body := `{"index":1,"updates":[]}`
+					select {
+					case body = <-s.list:
+					case <-time.After(200 * time.Millisecond):
+					}
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+				}
+			}()
+		}
+	}()
+	go func() { // polls that nobody waits for
+		for range s.polls {
+		}
+	}()
+	return l.Addr().String()
+}
+
+// told lets the engine list tell an event, and waits until the router has it.
+func (s *stage) told(e *standEngine, state string) {
+	e.s = s
+	s.held++
+	s.say("the list tells: %s is %s", e.name, state)
+	s.list <- fmt.Sprintf(`{"index":%d,"updates":[%s]}`, s.held, event(s.held, false, []string{entry(e, state)}))
+	for line := range s.polls {
+		if strings.Contains(line, fmt.Sprintf("follow=%d&", s.held)) {
+			break
+		}
+	}
+	s.sync()
+}
+
+func (s *stage) say(format string, args ...any) {
+	what := strings.ReplaceAll(fmt.Sprintf(format, args...), "\n", "\\n")
+	fmt.Fprintf(&s.out, "%8.1f ms  %s\n", float64(s.clock.Now()-17e12)/10, what)
+}
+
+// sync waits until the owner has done what is queued.
+func (s *stage) sync() {
+	done := make(chan struct{})
+	s.o.tell(func(admission.Time) { close(done) })
+	<-done
+}
+
+// pass moves the clock on.
+func (s *stage) pass(d admission.Time) {
+	until := s.clock.Now() + d
+	for {
+		s.sync()
+		f := s.clock.next(until)
+		if f == nil {
+			break
+		}
+		f()
+	}
+	s.sync()
+}
+
+// end compares the trace with the kept one.
+func (s *stage) end(name string) {
+	s.t.Helper()
+	for _, c := range s.things {
+		c.Close()
+	}
+	path := "testdata/" + name + ".txt"
+	if *keep {
+		os.MkdirAll("testdata", 0o755)
+		os.WriteFile(path, []byte(s.out.String()), 0o644)
+	}
+	if want, err := os.ReadFile(path); err != nil || s.out.String() != string(want) {
+		s.t.Errorf("got:\n%s\nkept:\n%s\n%v\nlog:\n%s", s.out.String(), want, err, s.log.String())
+	}
+}
+
+// standEngine is an engine that shows the script what it is sent; it answers probes by itself.
+type standEngine struct {
+	s     *stage
+	name  string
+	l     net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+	heard chan heard
+}
+
+type heard struct {
+	c     net.Conn
+	parts []string
+}
+
+func newEngineStand(t *testing.T, name string) *standEngine {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	e := &standEngine{name: name, l: l, heard: make(chan heard, 16)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.read(c)
+		}
+	}()
+	return e
+}
+
+func (e *standEngine) read(c net.Conn) {
+	var buffer []byte
+	b := make([]byte, 4096)
+	for {
+		parts, n, err := resp.Parse(buffer, nil)
+		if err != nil {
+			panic(err)
+		}
+		if n == 0 {
+			k, err := c.Read(b)
+			if err != nil {
+				return
+			}
+			buffer = append(buffer, b[:k]...)
+			continue
+		}
+		words := make([]string, len(parts))
+		for i := range parts {
+			words[i] = string(parts[i])
+		}
+		buffer = buffer[n:]
+		if words[0] == "top" {
+			c.Write(resp.Array(nil, words[1], "well", "gauges=util:0.2", ""))
+			continue
+		}
+		e.heard <- heard{c, words}
+	}
+}
+
+// hears waits for what the router sends next and returns the connection that brought it.
+func (e *standEngine) hears() net.Conn {
+	h := <-e.heard
+	e.s.say("%s hears: %s", e.name, strings.Join(h.parts, " | "))
+	return h.c
+}
+
+func (e *standEngine) says(c net.Conn, parts ...string) {
+	e.s.say("%s says: %s", e.name, strings.Join(parts, " | "))
+	c.Write(resp.Array(nil, parts...))
+}
+
+// client speaks the client's side, and logs in before it reads the greeting.
+type client struct {
+	s  *stage
+	c  net.Conn
+	r  *bufio.Reader
+	id uint32
+}
+
+func (s *stage) client() *client {
+	c := s.dial()
+	c.send(1, append(append([]byte{0, 0x82, 0, 0}, make([]byte, 28)...), "app\x00\x00"...))
+	greeting := c.packet()
+	rest := greeting[bytes.IndexByte(greeting, 0)+1:]
+	c.id = uint32(rest[0]) | uint32(rest[1])<<8 | uint32(rest[2])<<16 | uint32(rest[3])<<24
+	if ok := c.packet(); ok[0] != 0 {
+		s.t.Fatalf("login: %q", ok)
+	}
+	return c
+}
+
+func (s *stage) dial() *client {
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.things = append(s.things, c)
+	return &client{s: s, c: c, r: bufio.NewReader(c)}
+}
+
+func (c *client) send(number byte, payload []byte) {
+	c.c.Write(append([]byte{byte(len(payload)), byte(len(payload) >> 8), 0, number}, payload...))
+}
+
+func (c *client) packet() []byte {
+	head := make([]byte, mysql.HeadSize)
+	if _, err := io.ReadFull(c.r, head); err != nil {
+		return []byte("end of connection")
+	}
+	length, _ := mysql.Head(head)
+	payload := make([]byte, length)
+	io.ReadFull(c.r, payload)
+	return payload
+}
+
+func (c *client) asks(sql string) {
+	c.s.say("client asks: %s", sql)
+	c.send(0, append([]byte{mysql.Query}, sql...))
+}
+
+// look and load ask for a task that may run again and for one that may not.
+func (c *client) look(id string) { c.task(id, "look", 5000) }
+func (c *client) load(id string) { c.task(id, "load", 20000) }
+
+func (c *client) task(id, lane string, wait int) {
+	c.asks(fmt.Sprintf("/* class=%s,id=00000000000000%s,wait=%d */ SELECT a FROM t_7.x", lane, id, wait))
+}
+
+// gets waits for one answer.
+func (c *client) gets() {
+	switch p := c.packet(); {
+	case p[0] == 0xff:
+		c.s.say("client gets: error %d %s", int(p[1])|int(p[2])<<8, p[3:])
+	case p[0] == 0:
+		c.s.say("client gets: OK")
+	case p[0] == 3 && len(p) == 1:
+		for range 4 {
+			c.packet()
+		}
+		var rows []string
+		for p = c.packet(); p[0] != 0xfe; p = c.packet() {
+			rows = append(rows, fmt.Sprintf("%q", p))
+		}
+		c.s.say("client gets: rows %s", strings.Join(rows, " "))
+	default:
+		c.s.say("client gets: %s", p)
+	}
+}
+
+func TestPages(t *testing.T) { // gathered in order, whatever order they come in; one connection carries two tasks
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	a, b, c := s.client(), s.client(), s.client()
+	a.look("aa")
+	k := e.hears()
+	b.look("bb")
+	if e.hears() != k {
+		t.Error("the second hand-off came on another connection")
+	}
+	c.look("cc")
+	if e.hears() == k {
+		t.Error("the third hand-off came on the same connection")
+	}
+	e.says(k, "00000000000000aa", "data", "pages=3,cost=120,need=64", "a\tb\tc\n")
+	e.hears()
+	e.hears()
+	e.says(k, "00000000000000aa", "page", "page=2", "g\th\ti\n")
+	e.says(k, "00000000000000bb", "data", "pages=1,cost=100,need=64", "")
+	b.gets()
+	e.says(k, "00000000000000aa", "page", "page=1", "d\te\tf\n")
+	a.gets()
+	a.look("dd") // the session goes on
+	e.hears()
+	e.says(k, "00000000000000dd", "full", "-", "")
+	e.hears()
+	s.end("pages")
+}
+
+func TestLostPages(t *testing.T) { // nothing was passed on yet, so the module decides: here it hands off again
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	a := s.client()
+	a.look("aa")
+	k := e.hears()
+	e.says(k, "00000000000000aa", "data", "pages=2,cost=120,need=64", "a\tb\tc\n")
+	e.hears()
+	e.says(k, "00000000000000aa", "failed", "-", "")
+	k = e.hears()
+	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	a.gets()
+	s.end("lost pages")
+}
+
+func TestNacked(t *testing.T) { // no engine, so it is held while that is of use
+	s := play(t)
+	a := s.client()
+	a.look("aa")
+	s.wait(1)
+	s.pass(2 * admission.Second)
+	a.gets()
+	s.end("nacked")
+}
+
+// wait waits until the router has taken n tasks.
+func (s *stage) wait(n int) {
+	for got := -1; got != n; {
+		answer := make(chan int)
+		s.o.tell(func(admission.Time) { answer <- len(s.o.tasks) })
+		got = <-answer
+	}
+}
+
+func TestReset(t *testing.T) { // the one may run again, of the other nothing is known
+	e, f := newEngineStand(t, "e1"), newEngineStand(t, "e2")
+	s := play(t, e, f)
+	s.told(f, "Terminating")
+	a, b := s.client(), s.client()
+	a.look("aa")
+	k := e.hears()
+	s.told(e, "Terminating")
+	s.told(f, "Ready")
+	k.Close()
+	k = f.hears()
+	f.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	a.gets()
+	b.load("bb")
+	f.hears().Close()
+	b.gets()
+	s.end("reset")
+}
+
+func TestRefused(t *testing.T) { // proof that nothing ran: even a task that must not run twice goes elsewhere
+	e, f := newEngineStand(t, "e1"), newEngineStand(t, "e2")
+	e.l.Close()
+	s := play(t, e)
+	a := s.client()
+	a.load("aa")
+	s.wait(1)
+	s.told(f, "Ready")
+	s.pass(20 * admission.Millisecond)
+	k := f.hears()
+	f.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "")
+	a.gets()
+	s.end("refused")
+}
+
+func TestKilled(t *testing.T) { // nothing is owed then, the engine is told, and the session can go on
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	a, b := s.client(), s.client()
+	a.look("aa")
+	k := e.hears()
+	b.asks("KILL QUERY 0")
+	b.gets()
+	b.send(0, fmt.Appendf([]byte{mysql.Query}, "KILL QUERY %d", a.id))
+	s.say("client kills the query of another session")
+	b.gets()
+	e.hears()
+	e.hears()
+	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "too\tlate\t.\n")
+	a.look("bb")
+	k = e.hears()
+	e.says(k, "00000000000000bb", "data", "pages=1,cost=120,need=64", "in\ttime\t.\n")
+	a.gets()
+	s.end("killed")
+}
+
+func TestSilent(t *testing.T) { // a time-out, an answer after it, and another task on the same session
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	a := s.client()
+	a.load("aa")
+	k := e.hears()
+	s.pass(12100 * admission.Millisecond)
+	e.hears()
+	e.hears()
+	s.pass(150 * admission.Millisecond)
+	a.gets()
+	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "too\tlate\t.\n")
+	a.look("bb")
+	k = e.hears()
+	e.says(k, "00000000000000bb", "data", "pages=1,cost=120,need=64", "in\ttime\t.\n")
+	a.gets()
+	s.end("silent")
+}
+
+// Where the next do overtook the undo on another connection, the engines held two copies of a task.
+func TestCalledOff(t *testing.T) {
+	e, f := newEngineStand(t, "e1"), newEngineStand(t, "e2")
+	s := play(t, e)
+	a := s.client()
+	a.look("aa")
+	k := e.hears()
+	s.told(f, "Ready")
+	s.pass(100 * admission.Millisecond)
+	e.says(k, "00000000000000aa", "news", "res=so_far,v=0.01", "")
+	e.hears()
+	e.hears()
+	s.pass(10 * admission.Millisecond)
+	if len(f.heard) > 0 {
+		t.Error("a second copy went out before the first was known to be given up")
+	}
+	s.told(e, "Terminating")
+	e.says(k, "00000000000000aa", "failed", "-", "")
+	k = f.hears()
+	f.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	a.gets()
+	s.end("called off")
+}
+
+func TestDrain(t *testing.T) { // nothing new goes there, and what is out is still delivered
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	a, b := s.client(), s.client()
+	a.look("aa")
+	k := e.hears()
+	s.told(e, "Terminating")
+	b.look("bb")
+	s.wait(2)
+	s.pass(900 * admission.Millisecond)
+	b.gets()
+	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	a.gets()
+	s.end("drain")
+}
+
+func TestStop(t *testing.T) { // new tasks are still taken for a while, and all are answered before the end
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	a, b := s.client(), s.client()
+	a.look("aa")
+	k := e.hears()
+	close(s.stop)
+	b.look("bb")
+	e.hears()
+	e.says(k, "00000000000000bb", "data", "pages=1,cost=120,need=64", "d\te\tf\n")
+	b.gets()
+	select {
+	case <-s.ended:
+		t.Error("it ended with a task open")
+	case <-time.After(lastRequests + 100*time.Millisecond):
+	}
+	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	a.gets()
+	<-s.ended
+	s.say("the router ended")
+	s.end("stop")
+}
+
+func TestOddClients(t *testing.T) { // errors and codes; nothing of it reaches an engine
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	a := s.client()
+	a.asks("SELECT 1")
+	a.gets()
+	a.task("xx", "look", 5000)
+	a.gets()
+	a.task("aa", "other", 5000)
+	a.gets()
+	a.send(0, []byte{mysql.Ping})
+	a.gets()
+	a.send(0, append([]byte{mysql.InitDB}, "reports"...))
+	a.gets()
+	a.send(0, append([]byte{mysql.InitDB}, "mysql"...))
+	a.gets()
+	a.send(0, []byte{0x16})
+	a.gets()
+	a.send(0, []byte{mysql.Quit})
+	a.gets()
+	for _, login := range []string{"root\x00\x00", "app\x00\x01x", "app"} {
+		b := s.dial()
+		b.packet()
+		b.send(1, append(append([]byte{0, 0x82, 0, 0}, make([]byte, 28)...), login...))
+		b.gets()
+		b.gets()
+	}
+	b := s.client()
+	b.c.Write([]byte{0xff, 0xff, 0xff, 0})
+	b.gets()
+	b.gets()
+	b = s.client()
+	b.send(0, nil)
+	b.gets()
+	b = s.client()
+	b.c.Write([]byte{9, 0})
+	b.c.Close()
+	for _, code := range []string{"quit", "denied", "bad_login", "too_large", "bad_packet", "closed"} {
+		for !strings.Contains(s.log.String(), "side=client") || !strings.Contains(s.log.String(), "code="+code) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if len(e.heard) > 0 {
+		t.Error("the engine heard of it")
+	}
+	s.end("odd clients")
+}
