While nearly all seats are taken, the held task that would leave last is given up

At fault: Arrived and release hold whatever comes, as if what can be in hand had no end. keepSeats gives up the held task that would leave last, by earnings and arrival, with more than seven eighths of the seats taken. Seats are the settings' bound on open requests and, on sockets, a third of the descriptors.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -136,10 +136,9 @@
 	i := r.seat(task{id: id, lane: lane, tenant: tenant, tables: tables, arrived: now, cutoff: cutoff,
 		work: work, seq: r.seq, engine: none, rank: 1})
 	t := &r.tasks[i]
-	length := float64(work)
-	if work == 0 {
-		length = r.lanes[lane].work
-	} else {
+	length := r.lanes[lane].work
+	if work > 0 {
+		length = float64(work)
 		r.learnWork(&r.lanes[lane], length)
 	}
 	t.quoted = min(cutoff, now+l.Quoted+Time(l.Stretch*length/float64(l.Threads)))
@@ -160,22 +159,39 @@
 		return
 	}
 	r.release()
+	r.keepSeats()
 	if t := &r.tasks[i]; t.queued && now >= r.latest(t) {
 		r.giveUp(i) // it came too late to wait for the next tick
 	}
 }
 
+// keepSeats gives up the held task that would leave last, by earnings and arrival, while nearly all that the
+// gateway can have in hand is taken. Guards against shedding by chance: who finds no seat, dear or cheap,
+// does not come here. Harm: cuts short a queue that would have been served soon, where seats are few.
+func (r *Router) keepSeats() {
+	const spare = 8 // a part of the seats: for what comes while answers are on their way, or in a stall of 50 ms
+	for n := len(r.ladder) - 1; n >= 0 && r.d.Seats > 0 && len(r.byID) > r.d.Seats-r.d.Seats/spare; n-- {
+		for _, tenant := range r.tenants {
+			if q := r.queues[tenant*len(r.d.Lanes)+r.ladder[n]]; len(q) > 0 {
+				r.wanted = r.now
+				r.giveUp(q[len(q)-1])
+				return
+			}
+		}
+	}
+}
+
 // moveBar sets the least price, in earnings for work, at which tasks are taken on: up while a held task has
 // used up half of its useful time, else down. By earnings alone cheap lanes would starve behind dear ones.
 // Harm: where estimates are off beyond what answers correct, a lane is shed before others.
 func (r *Router) moveBar(starving bool) {
 	const rise, fall = 1.06, 0.97     // a tick: doubled in a quarter of a second, halved in twice that
 	const lowest, highest = 0.02, 1.5 // of the best lane's price, whose usual tasks pass all the same
+	step := fall
 	if starving {
-		r.bar = min(highest, r.bar*rise)
-	} else {
-		r.bar = max(lowest, r.bar*fall)
+		step = rise
 	}
+	r.bar = min(highest, max(lowest, r.bar*step))
 }
 
 // release hands off held tasks while engines have room: by tenant fairness (the fewest threads in use for its
@@ -374,20 +390,8 @@
 // the window count, and only the tasks that surely do.
 func (r *Router) rationed() bool {
 	last := r.span()
-	if last == nil {
-		return true
-	}
-	taken, extra := 0.0, 1.0
-	for i := range r.takes {
-		s := &r.takes[i]
-		if s.index >= last.index-spans {
-			extra += s.extra
-			if s.index > last.index-spans+1 {
-				taken += s.taken
-			}
-		}
-	}
-	return extra <= r.d.ExtraFree+r.d.ExtraShare*taken
+	taken, extra := r.window(last)
+	return last == nil || extra+1 <= r.d.ExtraFree+r.d.ExtraShare*taken
 }
 
 // handOff is the only place that sends a task to an engine. It holds the rules whatever was decided before.
@@ -722,12 +726,7 @@
 	e.report, e.reportAt = report, now
 	r.busy += 0.2 * (min(1, r.told(e)) - r.busy)
 	const age = 400 * Millisecond // of what a report tells, by and large: made now and then, and under way
-	e.sinceAt, e.since = now-age, 0
-	for k := range r.tasks {
-		if t := &r.tasks[k]; t.out && t.engine == i && t.sentAt >= e.sinceAt {
-			e.since += float64(r.d.Lanes[t.lane].Threads)
-		}
-	}
+	e.sinceAt, e.since = now-age, r.sentTo(i, now-age)
 	r.stepBound(e, r.signal(e), heard)
 }
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -26,6 +26,20 @@
 		}
 		return s
 	},
+	"seats": func() *script { // of eight, seven are used; the dear one goes before the cheap ones that it leaves behind
+		d := deployment()
+		d.Seats = 8
+		s := start(d, "e1")
+		s.engines[0].bound = 1
+		s.task("runs", 0, 0, "")
+		for i := range 6 {
+			s.task(TaskID(fmt.Sprint("cheap", i+1)), 0, 0, "")
+		}
+		s.task("dear", 1, 0, "")
+		s.task("cheap7", 0, 0, "")
+		s.end("runs", Delivered)
+		return s
+	},
 	"tenants": func() *script { // the tenant with the fewest threads for its share goes first
 		d := deployment()
 		d.Tenants = []Tenant{{Share: 0.75}, {Share: 0.25}}
--- a/internal/admission/deployment.go
+++ b/internal/admission/deployment.go
@@ -17,6 +17,7 @@
 	Probes     bool
 	ProbePrice float64 // for one probe a task
 	MaxTries   int     // hand-offs of one task
+	Seats      int     // tasks that the gateway can have in hand; 0: no limit
 	ComeBack   Time    // the longest come-back time that clients follow; 0: they are told none
 	Asks       bool    // the list comes only when asked for
 
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -191,3 +191,28 @@
 	}
 	return s
 }
+
+// window counts, for the ration's window up to a span, the tasks that surely fall into it and the further
+// hand-offs that may.
+func (r *Router) window(last *span) (taken, extra float64) {
+	for i := range r.takes {
+		s := &r.takes[i]
+		if s.index >= last.index-spans {
+			extra += s.extra
+			if s.index > last.index-spans+1 {
+				taken += s.taken
+			}
+		}
+	}
+	return taken, extra
+}
+
+// sentTo counts the threads sent to an engine since a time that are still running.
+func (r *Router) sentTo(engine int32, since Time) (threads float64) {
+	for i := range r.tasks {
+		if t := &r.tasks[i]; t.out && t.engine == engine && t.sentAt >= since {
+			threads += float64(r.d.Lanes[t.lane].Threads)
+		}
+	}
+	return threads
+}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -47,6 +47,7 @@
 		Probes:     s.Flag("limits", "probes"),
 		ProbePrice: s.Num("penalties", "probe"),
 		MaxTries:   int(s.Num("limits", "maxAttempts")),
+		Seats:      int(s.Num("limits", "maxOpen")),
 		Asks:       s.At("discovery") == "ask",
 		ColdShare:  s.Num("rules", "coldShare"),
 		WarmAfter:  up(s, "rules", "warmAfterUs"),
--- /dev/null
+++ b/internal/deployment/deployment_test.go
@@ -0,0 +1,54 @@
+package deployment
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+const settings = `{"classes":[{"name":"look","sloUs":1000000,"worth":1,"effect":"read_like"}],
+ "limits":{"connectTimeoutUs":250000,"keepaliveUs":30000000,"maxOpen":%d}}`
+
+func start(t *testing.T, text string) (*Start, error) {
+	path := filepath.Join(t.TempDir(), "configuration.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return ReadStart(path)
+}
+
+func TestSeats(t *testing.T) { // clients hold a third of the descriptors, so more tasks can't be in hand
+	for _, c := range []struct{ sockets, open, seats int }{{1024, 20000, 341}, {1024, 100, 100}, {0, 100, 100}, {1024, 0, 341}} {
+		s, err := start(t, fmt.Sprintf(`{"name":"n","listen":"l","coordinator":"c","seed":"ffffffffffffffff","known":{},
+		 "limits":{"sockets":%d},"settings":`+settings+`}`, c.sockets, c.open))
+		if err != nil || s.Site.Seats != c.seats || s.Seed != -1 {
+			t.Errorf("%v: got %+v, %v", c, s, err)
+		}
+	}
+}
+
+func TestAmiss(t *testing.T) {
+	for text, want := range map[string]string{
+		``:                        "field configuration: expected a JSON object: unexpected end of JSON input",
+		`[]`:                      "field configuration: expected a JSON object",
+		`{"name":"n"}`:            "field configuration[listen]: expected a text",
+		`{"name":"n","listen":5}`: "field configuration[listen]: expected a text",
+		`{"name":"n","listen":"l","coordinator":"c","known":{},"seed":"xyz","settings":{}}`: "field configuration[seed]: " +
+			"expected up to 16 hex digits",
+		`{"name":"n","listen":"l","coordinator":"c","known":{},"seed":"1"}`: "field configuration[settings]: " +
+			"expected an object",
+		`{"name":"n","listen":"l","coordinator":"c","known":{},"seed":"1","settings":{}}`: "field configuration[settings]" +
+			"[classes]: expected at least one class",
+		`{"name":"n","listen":"l","coordinator":"c","known":{},"seed":"1",
+		 "settings":{"classes":[{"name":"a","effect":"read_like"}]}}`: "field configuration[settings]" +
+			"[limits connectTimeoutUs]: expected a time above 0",
+	} {
+		if _, err := start(t, text); err == nil || err.Error() != want {
+			t.Errorf("%s: got %v, want %s", text, err, want)
+		}
+	}
+	if _, err := ReadStart(""); err == nil {
+		t.Error("a configuration that isn't there was read")
+	}
+}
--- a/internal/deployment/start.go
+++ b/internal/deployment/start.go
@@ -47,5 +47,9 @@
 	if s.Network, err = ReadNetwork(settings); err != nil {
 		return nil, err
 	}
+	// Clients hold at most a third of the descriptors, and a session carries one task.
+	if seats := int(c.Num("limits", "sockets")) / 3; seats > 0 && (s.Site.Seats == 0 || seats < s.Site.Seats) {
+		s.Site.Seats = seats
+	}
 	return s, nil
 }
