Page numbers that can't be end a hand-off; faults in probes and polls are logged and survived

A number of pages that is none, or beyond any result, was read as one page: the client would have had part of a result as all of it. Now the hand-off ends in an error (TestOddPages). TestGoneWithoutASign is the case of a connection that stays open and silent. One reader of load reports serves both wires.

--- /dev/null
+++ b/internal/deployment/report.go
@@ -0,0 +1,35 @@
+package deployment
+
+import (
+	"strconv"
+	"strings"
+
+	"magpiebank/internal/admission"
+)
+
+// Report reads an engine's load report, pairs name:value with a mark between them, under the names that the
+// settings give its fields; ok tells whether all of it was such pairs. Others are passed over.
+func Report(text, between string) (r admission.Report, ok bool) {
+	r, ok = admission.NoReport, true
+	for rest := text; rest != ""; {
+		var pair string
+		pair, rest, _ = strings.Cut(rest, between)
+		name, value, _ := strings.Cut(pair, ":")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || v != v {
+			ok = false
+			continue
+		}
+		switch name {
+		case "inflight":
+			r.Held = v
+		case "util":
+			r.Util = v
+		case "x0":
+			r.Memory = v
+		case "x1":
+			r.Disks = v
+		}
+	}
+	return r, ok
+}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"magpiebank/internal/admission"
+	"magpiebank/internal/deployment"
 )
 
 // MostArray is the longest array that Parse takes: a page of 6,000 bytes with its head has ample room.
@@ -141,26 +142,6 @@
 
 // Report reads an engine's load report, as in inflight:7;util:0.61.
 func Report(fields []byte) admission.Report {
-	r := admission.NoReport
-	rest := Field(fields, "gauges")
-	for len(rest) > 0 {
-		var gauge []byte
-		gauge, rest, _ = bytes.Cut(rest, []byte{';'})
-		name, value, _ := bytes.Cut(gauge, []byte{':'})
-		v, err := strconv.ParseFloat(string(value), 64)
-		if err != nil || v != v {
-			continue
-		}
-		switch string(name) {
-		case "inflight":
-			r.Held = v
-		case "util":
-			r.Util = v
-		case "x0":
-			r.Memory = v
-		case "x1":
-			r.Disks = v
-		}
-	}
+	r, _ := deployment.Report(string(Field(fields, "gauges")), ";")
 	return r
 }
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -200,12 +201,7 @@
 		e.mu.Lock()
 		open := l.open
 		l.open = nil
-		for i := range e.links {
-			if e.links[i] == l {
-				e.links = append(e.links[:i], e.links[i+1:]...)
-				break
-			}
-		}
+		e.links = slices.DeleteFunc(e.links, func(k *link) bool { return k == l })
 		e.mu.Unlock()
 		for _, h := range open {
 			how := admission.Reset
@@ -272,12 +268,7 @@
 	if len(l.open) > 0 || time.Since(l.used) < idle {
 		return false
 	}
-	for i := range l.e.links {
-		if l.e.links[i] == l {
-			l.e.links = append(l.e.links[:i], l.e.links[i+1:]...)
-			break
-		}
-	}
+	l.e.links = slices.DeleteFunc(l.e.links, func(k *link) bool { return k == l })
 	return true
 }
 
@@ -314,49 +305,63 @@
 	case "data":
 		h.work = admission.Time(resp.Number(fields, "cost") * float64(admission.Millisecond))
 		h.needs = resp.Number(fields, "need")
-		l.page(h, max(1, int(resp.Number(fields, "pages"))), 0, body)
+		l.first(h, fields, body)
 	case "page":
-		l.page(h, 0, int(resp.Number(fields, "page")), body)
+		l.page(h, fields, body)
 	case "full":
 		l.ended(h, admission.Full)
 	case "moot":
 		l.ended(h, admission.Moot)
-	default:
+	default: // failed, and what we don't know
 		l.ended(h, admission.Errored)
 	}
 }
 
-// mostPages is how many pages a result can have: more than its longest takes.
+// mostPages is how many pages a result may have: eight hold the longest, and a wrong number costs no memory.
 const mostPages = 64
 
-// page keeps a page of a result. With the first one the others are asked for; with the last one it is whole.
-func (l *link) page(h *handOff, all, n int, body []byte) {
-	l.e.mu.Lock()
-	first := h.pages == nil && all > 0 && all <= mostPages
-	if first {
-		h.pages, h.missing = make([][]byte, all), all
+// first keeps the first page of a result and asks for the others at once.
+func (l *link) first(h *handOff, fields, body []byte) {
+	if h.pages != nil {
+		return // once is enough
 	}
-	if n < 0 || n >= len(h.pages) || h.pages[n] != nil {
-		l.e.mu.Unlock()
+	all, err := strconv.Atoi(string(resp.Field(fields, "pages")))
+	if err != nil || all < 1 || all > mostPages {
+		l.ended(h, admission.Errored)
 		return
 	}
-	h.pages[n] = append([]byte{}, body...)
-	h.missing--
-	whole, undone := h.missing == 0, h.undone
+	l.e.mu.Lock()
+	h.pages, h.missing = make([][]byte, all), all
 	l.e.mu.Unlock()
-	if whole {
-		l.ended(h, admission.Delivered)
-	} else if first && !undone {
+	if l.keep(h, 0, body); all > 1 {
 		l.write(func() net.Buffers {
 			var asks []byte
-			for k := 1; k < all; k++ {
-				asks = append(asks, resp.Array(nil, "page", string(h.task), strconv.Itoa(k))...)
+			for n := 1; n < all; n++ {
+				asks = append(asks, resp.Array(nil, "page", string(h.task), strconv.Itoa(n))...)
 			}
 			return net.Buffers{asks}
 		})
 	}
 }
 
+// page keeps a further page.
+func (l *link) page(h *handOff, fields, body []byte) {
+	if n, err := strconv.Atoi(string(resp.Field(fields, "page"))); err == nil && n > 0 && n < len(h.pages) {
+		l.keep(h, n, body)
+	}
+}
+
+// keep puts a page into its place. With the last one missing the result is whole.
+func (l *link) keep(h *handOff, n int, body []byte) {
+	if h.pages[n] != nil {
+		return
+	}
+	h.pages[n] = append([]byte{}, body...)
+	if h.missing--; h.missing == 0 {
+		l.ended(h, admission.Delivered)
+	}
+}
+
 // ended takes a hand-off that has its last answer off the connection.
 func (l *link) ended(h *handOff, how admission.Outcome) {
 	l.e.mu.Lock()
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -39,8 +39,7 @@
 // serve polls until stop is closed.
 func (f *follower) serve(stop <-chan struct{}) {
 	for {
-		code := f.connect()
-		f.o.connectionEnded("engine list", f.address, code, 0, nil)
+		f.connect()
 		select {
 		case <-stop:
 			return
@@ -50,7 +49,13 @@
 }
 
 // connect polls on one connection until it ends.
-func (f *follower) connect() (code string) {
+func (f *follower) connect() {
+	code := "panic"
+	defer func() { f.o.connectionEnded("engine list", f.address, code, 0, recover()) }()
+	code = f.poll()
+}
+
+func (f *follower) poll() (code string) {
 	within := f.o.network.ConnectWithin
 	tcp, err := net.DialTimeout("tcp", f.address, within)
 	if err != nil {
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -25,9 +25,9 @@
 	o := p.e.o
 	for range p.e.bell {
 		kept := p.tcp != nil
-		how, report := p.ask()
+		how, report := p.guarded()
 		if how == admission.Reset && kept {
-			how, report = p.ask() // it died while idle, which tells nothing of now
+			how, report = p.guarded() // it died while idle, which tells nothing of now
 		}
 		o.tell(func(now admission.Time) { o.module.Probed(now, p.e.name, how, report) })
 	}
@@ -42,6 +42,17 @@
 	}
 }
 
+// guarded makes one probe; a fault of ours in it counts as the engine's error.
+func (p *prober) guarded() (how admission.Outcome, report admission.Report) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			p.e.o.connectionEnded("probe", string(p.e.name), "panic", 0, fault)
+			how, report = admission.Errored, admission.NoReport
+		}
+	}()
+	return p.ask()
+}
+
 // ask makes one probe. Its answer has as long as a connection to come up: the site states no other wait.
 func (p *prober) ask() (admission.Outcome, admission.Report) {
 	within := p.e.o.network.ConnectWithin
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -543,6 +543,51 @@
 	s.end("silent")
 }
 
+func TestOddPages(t *testing.T) { // numbers that can't be are errors or passed over, and the client gets no part of it
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	a := s.client()
+	a.load("aa")
+	k := e.hears()
+	e.says(k, "00000000000000aa", "data", "pages=1e300,cost=120,need=64", "a\tb\tc\n")
+	a.gets()
+	a.load("bb")
+	k = e.hears()
+	e.says(k, "00000000000000ff", "data", "pages=1", "of\tnobody\t.\n")
+	e.says(k, "00000000000000bb", "page", "page=0", "too\tearly\t.\n")
+	e.says(k, "00000000000000bb", "data", "pages=2,cost=x,need=-", "a\tb\tc\n")
+	e.hears()
+	e.says(k, "00000000000000bb", "page", "page=2", "too\tmany\t.\n")
+	e.says(k, "00000000000000bb", "data", "pages=1", "once\tmore\t.\n")
+	e.says(k, "00000000000000bb", "page", "page=1", "d\te\tf\n")
+	e.says(k, "00000000000000bb", "page", "page=1", "once\tmore\t.\n")
+	a.gets()
+	a.load("cc")
+	k = e.hears()
+	e.says(k, "00000000000000cc", "data", "pages=1", "a\tb\tc")
+	a.gets()
+	s.end("odd pages")
+}
+
+func TestGoneWithoutASign(t *testing.T) { // after an undo that was never heard of, a new connection is tried
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	a := s.client()
+	a.look("aa")
+	k := e.hears()
+	s.pass(1100 * admission.Millisecond)
+	e.hears()
+	e.hears()
+	s.pass(250 * admission.Millisecond)
+	a.gets()
+	time.Sleep(s.o.network.ConnectWithin + time.Millisecond)
+	a.look("bb")
+	if e.hears() == k {
+		t.Error("the next hand-off came on the silent connection")
+	}
+	s.end("gone without a sign")
+}
+
 // Where the next do overtook the undo on another connection, the engines held two copies of a task.
 func TestCalledOff(t *testing.T) {
 	e, f := newEngineStand(t, "e1"), newEngineStand(t, "e2")
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -144,27 +144,9 @@
 }
 
 func (w *wire) report(field string) admission.Report {
-	r := admission.NoReport
-	rest := w.opt(field)
-	for rest != "" {
-		var pair string
-		pair, rest, _ = strings.Cut(rest, ",")
-		key, val, _ := strings.Cut(pair, ":")
-		v, err := strconv.ParseFloat(val, 64)
-		if err != nil {
-			w.fail(field, "name:value pairs set apart by commas")
-			return r
-		}
-		switch key {
-		case "inflight":
-			r.Held = v
-		case "util":
-			r.Util = v
-		case "x0":
-			r.Memory = v
-		case "x1":
-			r.Disks = v
-		}
+	r, ok := deployment.Report(w.opt(field), ",")
+	if !ok {
+		w.fail(field, "name:value pairs set apart by commas")
 	}
 	return r
 }
