At the stop of a router each connection is closed with its line; idle ones go on time

Connections open at the stop left no line. And a connection was looked at for idleness only after the whole idle time had passed since the last byte read, so that one used last by a hand-off without an answer could outlive the engine's own limit. Found by reading; TestStop counts the lines.

--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -79,8 +79,18 @@
 }
 
 // retire ends the probes; connections end once they are idle.
-func (e *engine) retire() {
-	close(e.bell)
+func (e *engine) retire() { close(e.bell) }
+
+// stop ends all connections.
+func (e *engine) stop() {
+	e.retire()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, l := range e.links {
+		if l.tcp != nil {
+			l.tcp.Close()
+		}
+	}
 }
 
 // send puts a hand-off on a connection with room where its task's answers can't be mistaken for an earlier
@@ -96,6 +106,7 @@
 	if h.link == nil {
 		h.link = &link{e: e, open: map[admission.TaskID]*handOff{}}
 		e.links = append(e.links, h.link)
+		e.o.connections.Add(1)
 		go h.link.serve()
 	}
 	l := h.link
@@ -207,6 +218,7 @@
 			e.o.tell(func(now admission.Time) { e.o.ended(now, h, how, 0, 0) })
 		}
 		e.o.connectionEnded("engine", string(e.name), code, len(open), recover())
+		e.o.connections.Add(-1)
 	}()
 	tcp, err := net.DialTimeout("tcp", e.address, e.o.network.ConnectWithin)
 	if err != nil {
@@ -246,7 +258,7 @@
 			r.Discard(n)
 			continue
 		}
-		l.tcp.SetReadDeadline(time.Now().Add(idle))
+		l.tcp.SetReadDeadline(l.restAt(idle))
 		if _, err = r.Peek(len(b) + 1); errors.Is(err, os.ErrDeadlineExceeded) {
 			if l.restUnused(idle) {
 				return "idle"
@@ -257,6 +269,16 @@
 	}
 }
 
+// restAt is when to look whether a connection is idle: not before what is out on it could be over.
+func (l *link) restAt(idle time.Duration) time.Time {
+	l.e.mu.Lock()
+	defer l.e.mu.Unlock()
+	if len(l.open) > 0 {
+		return time.Now().Add(idle)
+	}
+	return l.used.Add(idle)
+}
+
 // restUnused takes a connection out of use if nothing was on it for a while.
 func (l *link) restUnused(idle time.Duration) bool {
 	l.e.mu.Lock()
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -39,7 +39,7 @@
 // serve polls until stop is closed.
 func (f *follower) serve(stop <-chan struct{}) {
 	for {
-		f.connect()
+		f.connect(stop)
 		select {
 		case <-stop:
 			return
@@ -49,19 +49,31 @@
 }
 
 // connect polls on one connection until it ends.
-func (f *follower) connect() {
+func (f *follower) connect(stop <-chan struct{}) {
 	code := "panic"
-	defer func() { f.o.connectionEnded("engine list", f.address, code, 0, recover()) }()
-	code = f.poll()
+	f.o.connections.Add(1)
+	defer func() {
+		f.o.connectionEnded("engine list", f.address, code, 0, recover())
+		f.o.connections.Add(-1)
+	}()
+	code = f.poll(stop)
 }
 
-func (f *follower) poll() (code string) {
+func (f *follower) poll(stop <-chan struct{}) (code string) {
 	within := f.o.network.ConnectWithin
 	tcp, err := net.DialTimeout("tcp", f.address, within)
 	if err != nil {
 		return endCode(err)
 	}
-	defer tcp.Close()
+	over := make(chan struct{})
+	defer close(over)
+	go func() { // closes it at the stop of the router, too, where a poll would go on
+		select {
+		case <-stop:
+		case <-over:
+		}
+		tcp.Close()
+	}()
 	r := bufio.NewReaderSize(tcp, 4096)
 	var request, buffer []byte
 	for {
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -12,11 +12,14 @@
 // owner is the one goroutine that calls the module. Sockets reach it through its inbox, and it reaches them
 // through the mailboxes of sessions and the bells of engines; it never waits for either.
 type owner struct {
-	open     atomic.Int64 // queries that wait for their final answer to be written
-	clock    Clock
-	inbox    *mailbox
-	log      *slog.Logger
-	network  *deployment.Network
+	clock       Clock
+	inbox       *mailbox
+	log         *slog.Logger
+	network     *deployment.Network
+	open        atomic.Int64 // queries that wait for their final answer to be written
+	connections atomic.Int64 // whose line is not in the log yet
+	stopped     atomic.Bool
+
 	now      admission.Time
 	module   *admission.Router
 	sessions map[uint32]*session           // by connection id
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -39,6 +39,7 @@
 		p.tcp.Close()
 		p.tcp = nil
 		p.e.o.connectionEnded("probe", string(p.e.name), code, 0, nil)
+		p.e.o.connections.Add(-1)
 	}
 }
 
@@ -65,6 +66,7 @@
 			p.e.o.connectionEnded("probe", string(p.e.name), endCode(err), 0, nil)
 			return admission.Unreachable, admission.NoReport
 		}
+		p.e.o.connections.Add(1)
 		p.tcp, p.r = tcp, bufio.NewReaderSize(tcp, resp.MostArray)
 	}
 	p.used = time.Now()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,7 +22,9 @@
 
 // Serve runs a router until stop is closed and all it had taken is answered.
 func Serve(start *deployment.Start, log *slog.Logger, stop <-chan struct{}) error {
-	debug.SetMemoryLimit(int64(start.MemoryMB) << 20 * 3 / 4) // the rest is for stacks and the sockets' buffers
+	if start.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(start.MemoryMB) << 20 * 3 / 4) // the rest is for stacks and the sockets' buffers
+	}
 	listener, err := net.Listen("tcp", start.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -35,8 +37,11 @@
 	f := &follower{o: o, address: start.EngineList}
 	f.tell(start.Known, admission.Remembered)
 	o.log.Info("serving", "name", start.Name, "address", listener.Addr().String())
-	ended := make(chan struct{})
-	go o.loop(ended)
+	ended, idle := make(chan struct{}), make(chan struct{})
+	go func() {
+		o.loop(ended)
+		close(idle)
+	}()
 	go f.serve(ended)
 	go o.accept(listener, uint32(time.Now().UnixMilli()*10))
 	<-stop
@@ -46,7 +51,18 @@
 	for o.open.Load() > 0 {
 		time.Sleep(10 * time.Millisecond)
 	}
+	o.stopped.Store(true)
 	close(ended)
+	<-idle // nothing is decided any more, and what the owner had is this goroutine's
+	for _, s := range o.sessions {
+		s.tcp.Close()
+	}
+	for _, e := range o.engines {
+		e.stop()
+	}
+	for by := time.Now().Add(afterCutoff); o.connections.Load() > 0 && time.Now().Before(by); {
+		time.Sleep(time.Millisecond) // until each has its line
+	}
 }
 
 // accept starts a session for each client. Connection ids go on from the time of the start, in tenths of a
@@ -63,6 +79,7 @@
 			continue
 		}
 		connection++
+		o.connections.Add(1)
 		s := &session{o: o, tcp: tcp, r: bufio.NewReaderSize(tcp, 4096), connection: connection,
 			mail: newMailbox()}
 		go s.run()
@@ -84,12 +101,16 @@
 			code = "panic"
 		}
 		o.connectionEnded("client", s.tcp.RemoteAddr().String(), code, 0, fault)
+		o.connections.Add(-1)
 	}()
 	s.serve()
 }
 
 // connectionEnded writes the one line of a connection that ended.
 func (o *owner) connectionEnded(side, peer, code string, open int, fault any) {
+	if o.stopped.Load() {
+		code = "stopped"
+	}
 	if fault != nil {
 		o.log.Error("connection", "side", side, "peer", peer, "code", "panic", "fault", fault,
 			"stack", string(debug.Stack()))
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -664,7 +664,12 @@
 	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
 	a.gets()
 	<-s.ended
-	s.say("the router ended")
+	for _, side := range []string{"client", "engine", `"engine list"`} {
+		s.say("the router ended, %d lines of side %s", strings.Count(s.log.String(), "side="+side+" "), side)
+	}
+	if strings.Count(s.log.String(), "code=stopped") < 4 {
+		t.Errorf("log:\n%s", s.log.String())
+	}
 	s.end("stop")
 }
 
