The first timer no longer reaches for a module that is not there yet

Seen by the race detector in the command's new test, which starts a router and stops it with SIGTERM: Wake is called while the module is being made, and its timer's goroutine took the module from the owner. A process that stood still for 20 ms at that moment would have crashed. Fault: host.Wake bound the method outside the owner's goroutine.

--- /dev/null
+++ b/cmd/magpiebank/main_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+const configuration = `{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","coordinator":"127.0.0.1:1",
+ "known":{"index":0,"updates":[]},"settings":{"fleetSize":3,
+ "classes":[{"name":"look","sloUs":1000000,"worth":1,"effect":"read_like"}],
+ "limits":{"connectTimeoutUs":250000,"keepaliveUs":30000000}}}`
+
+func Example_check() {
+	dir, _ := os.MkdirTemp("", "magpiebank")
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "configuration.json")
+	os.WriteFile(path, []byte(configuration), 0o600)
+	env := func(name string) string { return map[string]string{"RELAY_CONFIG": path}[name] }
+	for _, args := range []string{"check", "check --listen 127.0.0.1:5050", "check --config " + dir + "/none", "version",
+		"serve --log-level loud", "serve --quick", "ride", "version"} {
+		var out, errs strings.Builder
+		status := run(strings.Fields(args), env, &out, &errs)
+		first, _, _ := strings.Cut(errs.String(), "\n")
+		fmt.Printf("%d %s%s\n", status, strings.TrimSpace(out.String()), strings.ReplaceAll(first, dir, "DIR"))
+	}
+	// Output:
+	// 0 n0 listens on 127.0.0.1:0, one of 3; lanes ["look"]; engine list at 127.0.0.1:1
+	// 0 n0 listens on 127.0.0.1:5050, one of 3; lanes ["look"]; engine list at 127.0.0.1:1
+	// 2 magpiebank: configuration: open DIR/none: no such file or directory
+	// 0 magpiebank 0.1.0
+	// 2 magpiebank: flag log-level: slog: level string "loud": unknown name
+	// 2 magpiebank: unknown flag: --quick
+	// 2 magpiebank: no command "ride"
+	// 0 magpiebank 0.1.0
+}
+
+func TestServe(t *testing.T) { // until SIGTERM, then with status 0
+	path := filepath.Join(t.TempDir(), "configuration.json")
+	if err := os.WriteFile(path, []byte(configuration), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r, w := io.Pipe()
+	status := make(chan int)
+	go func() { status <- run([]string{"serve", "--config", path}, os.Getenv, io.Discard, w) }()
+	var log strings.Builder
+	b := make([]byte, 4096)
+	for !strings.Contains(log.String(), "serving") {
+		n, _ := r.Read(b)
+		log.Write(b[:n])
+	}
+	go io.Copy(io.Discard, r)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-status; got != 0 {
+		t.Errorf("status %d", got)
+	}
+}
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -65,7 +65,9 @@
 func (a host) Subscribe() {}
 
 func (a host) Wake(at admission.Time) {
-	a.o.clock.After(at-a.o.clock.Now(), func() { a.o.tell(a.o.module.Due) })
+	a.o.clock.After(at-a.o.clock.Now(), func() {
+		a.o.tell(func(now admission.Time) { a.o.module.Due(now) }) // the first is asked for before the module is there
+	})
 }
 
 func (a host) Say(text string) { a.o.log.Info(text) }
