Network code read once more: one way to take an engine's answer, one count of connections

Links and probers each had the loop that reads until an answer is whole, and each its own margin for idle connections; nextAnswer and idleAfter serve both. The count of connections goes with the line that ends each, instead of beside it in four places; a probe's fault now ends its connection, too. A result's work and memory travel with the hand-off, not as arguments that all other ends set to zero; they are read once, with the first page. The sheet's four getters share one. Gone: an error code and a session's return value that nothing read, the hand-off's second way to its engine, a second name for the EOF packet. Left as they are: the words for an engine's state and a lane's effect, alike in shape only, as each wire has its own.

--- a/internal/mysql/mysql_test.go
+++ b/internal/mysql/mysql_test.go
@@ -40,7 +40,7 @@
 
 func ExampleColumns() {
 	head, number := Columns(nil, 1)
-	fmt.Printf("%q\nnext %d\n%q\n", head[:38], number, EndRows(nil, number))
+	fmt.Printf("%q\nnext %d\n%q\n", head[:38], number, EOF(nil, number))
 	// Output:
 	// "\x01\x00\x00\x01\x03\x1a\x00\x00\x02\x03def\x00\x00\x00\x02c1\x02c1\f!\x00\xff\xff\x00\x00\xfd\x00\x00\x00\x00\x00\x1a\x00\x00"
 	// next 6
--- a/internal/mysql/packet.go
+++ b/internal/mysql/packet.go
@@ -120,7 +120,6 @@
 	ErrUnknownCommand = 1047
 	ErrParse          = 1064
 	ErrTooLarge       = 1153
-	ErrNoSuchThread   = 1094
 )
 
 // Error appends an error packet.
@@ -150,8 +149,8 @@
 	return Error(dst, number, ErrNacked, text)
 }
 
-// eof appends the packet after the columns and after the rows.
-func eof(dst []byte, number byte) []byte {
+// EOF appends the packet after the columns and after the rows.
+func EOF(dst []byte, number byte) []byte {
 	dst, at := packet(dst, number)
 	return seal(append(dst, 0xfe, 0, 0, autocommit, 0), at)
 }
@@ -174,7 +173,7 @@
 		dst = append(dst, typeVarString, 0, 0, 0, 0, 0)
 		dst = seal(dst, at)
 	}
-	return eof(dst, number+1), number + 2
+	return EOF(dst, number+1), number + 2
 }
 
 // ErrRows is text that isn't whole rows of three columns.
@@ -201,9 +200,6 @@
 	return dst, number, nil
 }
 
-// EndRows appends what stands behind a result's rows.
-func EndRows(dst []byte, number byte) []byte { return eof(dst, number) }
-
 // text appends a length-encoded string.
 func text[T string | []byte](dst []byte, s T) []byte {
 	switch n := len(s); {
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -19,7 +19,6 @@
 // stands below it.
 type handOff struct {
 	session   *session
-	engine    *engine
 	task      admission.TaskID
 	n         int
 	over      bool
@@ -36,7 +35,7 @@
 	undone  bool
 	pages   [][]byte // of the result, once its first page is there
 	missing int
-	work    admission.Time
+	work    admission.Time // as its first page tells, and the memory in MB
 	needs   float64
 }
 
@@ -215,10 +214,9 @@
 			if h.withdraw() {
 				how = admission.Unreachable
 			}
-			e.o.tell(func(now admission.Time) { e.o.ended(now, h, how, 0, 0) })
+			e.o.tell(func(now admission.Time) { e.o.ended(now, h, how) })
 		}
 		e.o.connectionEnded("engine", string(e.name), code, len(open), recover())
-		e.o.connections.Add(-1)
 	}()
 	tcp, err := net.DialTimeout("tcp", e.address, e.o.network.ConnectWithin)
 	if err != nil {
@@ -237,38 +235,51 @@
 	code = l.read()
 }
 
-// read takes in answers. A connection left idle is closed before the engine would, so that no hand-off crosses
-// its close.
+// read takes in answers until the connection ends or has been idle.
 func (l *link) read() (code string) {
-	idle := max(l.e.o.network.IdleClose-l.e.o.network.ConnectWithin, l.e.o.network.IdleClose/2)
+	idle := l.e.o.idleAfter()
 	r := bufio.NewReaderSize(l.tcp, 2*resp.MostArray)
 	var parts [][]byte
 	for {
-		b, _ := r.Peek(r.Buffered())
 		var n int
 		var err error
-		if parts, n, err = resp.Parse(b, parts[:0]); err != nil {
-			return "bad_answer"
-		}
-		if n > 0 {
-			if len(parts) < 2 {
-				return "bad_answer"
-			}
+		parts, n, err = nextAnswer(r, parts, func() { l.tcp.SetReadDeadline(l.restAt(idle)) })
+		switch {
+		case err == nil:
 			l.answer(parts)
 			r.Discard(n)
-			continue
-		}
-		l.tcp.SetReadDeadline(l.restAt(idle))
-		if _, err = r.Peek(len(b) + 1); errors.Is(err, os.ErrDeadlineExceeded) {
-			if l.restUnused(idle) {
-				return "idle"
-			}
-		} else if err != nil {
+		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return endCode(err)
+		case l.restUnused(idle):
+			return "idle"
+		}
+	}
+}
+
+// nextAnswer reads until an engine's next answer is whole: its parts, which lie in the reader's buffer until its n
+// bytes are discarded. before is called each time that it may have to wait.
+func nextAnswer(r *bufio.Reader, parts [][]byte, before func()) (answer [][]byte, n int, err error) {
+	for {
+		b, _ := r.Peek(r.Buffered())
+		parts, n, err = resp.Parse(b, parts[:0])
+		if err == nil && n > 0 && len(parts) < 2 {
+			err = resp.ErrArray
+		}
+		if err != nil || n > 0 {
+			return parts, n, err
+		}
+		before()
+		if _, err = r.Peek(len(b) + 1); err != nil {
+			return parts, 0, err
 		}
 	}
 }
 
+// idleAfter is when a connection without use is closed: before the engine would, so that nothing crosses its close.
+func (o *owner) idleAfter() time.Duration {
+	return max(o.network.IdleClose-o.network.ConnectWithin, o.network.IdleClose/2)
+}
+
 // restAt is when to look whether a connection is idle: not before what is out on it could be over.
 func (l *link) restAt(idle time.Duration) time.Time {
 	l.e.mu.Lock()
@@ -321,8 +332,6 @@
 			e.o.tell(func(now admission.Time) { e.o.module.Noted(now, task, h.n, news, value) })
 		}
 	case "data":
-		h.work = admission.Time(resp.Number(fields, "cost") * float64(admission.Millisecond))
-		h.needs = resp.Number(fields, "need")
 		l.first(h, fields, body)
 	case "page":
 		l.page(h, fields, body)
@@ -348,6 +357,8 @@
 		l.ended(h, admission.Errored)
 		return
 	}
+	h.work = admission.Time(resp.Number(fields, "cost") * float64(admission.Millisecond))
+	h.needs = resp.Number(fields, "need")
 	l.e.mu.Lock()
 	h.pages, h.missing = make([][]byte, all), all
 	l.e.mu.Unlock()
@@ -385,10 +396,6 @@
 	l.e.mu.Lock()
 	delete(l.open, h.task)
 	l.used = time.Now()
-	work, needs := h.work, h.needs
 	l.e.mu.Unlock()
-	if how != admission.Delivered {
-		work, needs = 0, 0
-	}
-	l.e.o.tell(func(now admission.Time) { l.e.o.ended(now, h, how, work, needs) })
+	l.e.o.tell(func(now admission.Time) { l.e.o.ended(now, h, how) })
 }
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -52,10 +52,7 @@
 func (f *follower) connect(stop <-chan struct{}) {
 	code := "panic"
 	f.o.connections.Add(1)
-	defer func() {
-		f.o.connectionEnded("engine list", f.address, code, 0, recover())
-		f.o.connections.Add(-1)
-	}()
+	defer func() { f.o.connectionEnded("engine list", f.address, code, 0, recover()) }()
 	code = f.poll(stop)
 }
 
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -9,12 +9,12 @@
 
 func (a host) HandOff(task admission.TaskID, name admission.EngineID, patience admission.Time) {
 	s, e := a.o.tasks[task], a.o.engines[name]
-	h := &handOff{session: s, task: task, n: s.tries, engine: e, lane: s.lane, statement: s.statement,
+	h := &handOff{session: s, task: task, n: s.tries, lane: s.lane, statement: s.statement,
 		patience: patience, memory: s.memory, rank: s.rank}
 	s.tries++
 	s.out = h
 	h.stop = a.o.clock.After(patience, func() {
-		a.o.tell(func(now admission.Time) { a.o.ended(now, h, admission.TimedOut, 0, 0) })
+		a.o.tell(func(now admission.Time) { a.o.ended(now, h, admission.TimedOut) })
 	})
 	s.mail.put(func() {
 		s.made = append(s.made, h)
@@ -25,7 +25,7 @@
 func (a host) Cancel(task admission.TaskID, n int) {
 	if s := a.o.tasks[task]; s != nil && s.out != nil && s.out.n == n {
 		h := s.out
-		a.o.tell(func(now admission.Time) { a.o.ended(now, h, admission.Cancelled, 0, 0) })
+		a.o.tell(func(now admission.Time) { a.o.ended(now, h, admission.Cancelled) })
 	}
 }
 
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -93,7 +93,7 @@
 }
 
 // ended takes in how a hand-off ended; the first end counts, whatever raced with it.
-func (o *owner) ended(now admission.Time, h *handOff, how admission.Outcome, work admission.Time, memory float64) {
+func (o *owner) ended(now admission.Time, h *handOff, how admission.Outcome) {
 	if h.over {
 		o.givenUp(now, h)
 		return
@@ -102,8 +102,11 @@
 	h.stop()
 	s := h.session
 	s.out = nil
+	var work admission.Time
+	var memory float64
 	switch how {
 	case admission.Delivered:
+		work, memory = h.work, h.needs
 		if o.tasks[h.task] == s {
 			o.answer(s, func() { s.deliver(h.pages) })
 		}
@@ -151,7 +154,7 @@
 	}
 	o.module.ClientGone(now, s.taken)
 	if s.out != nil { // nobody waits for it, so its patience is over
-		o.ended(now, s.out, admission.Cancelled, 0, 0)
+		o.ended(now, s.out, admission.Cancelled)
 	}
 	o.answer(s, s.leave)
 }
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -14,40 +14,45 @@
 
 // prober asks one engine for its report on a connection of its own.
 type prober struct {
-	e    *engine
-	tcp  net.Conn
-	r    *bufio.Reader
-	used time.Time
-	tag  int
+	e     *engine
+	begun bool // there is a connection, or one is being dialled
+	tcp   net.Conn
+	r     *bufio.Reader
+	used  time.Time
+	tag   int
 }
 
 func (p *prober) serve() {
 	o := p.e.o
 	for range p.e.bell {
-		kept := p.tcp != nil
+		kept := p.begun
 		how, report := p.guarded()
 		if how == admission.Reset && kept {
 			how, report = p.guarded() // it died while idle, which tells nothing of now
 		}
 		o.tell(func(now admission.Time) { o.module.Probed(now, p.e.name, how, report) })
 	}
-	p.end("retired")
+	p.end("retired", nil)
 }
 
-func (p *prober) end(code string) {
+// end closes the connection, if there is one, down to its line in the log.
+func (p *prober) end(code string, fault any) {
+	if !p.begun {
+		return
+	}
+	p.begun = false
 	if p.tcp != nil {
 		p.tcp.Close()
 		p.tcp = nil
-		p.e.o.connectionEnded("probe", string(p.e.name), code, 0, nil)
-		p.e.o.connections.Add(-1)
 	}
+	p.e.o.connectionEnded("probe", string(p.e.name), code, 0, fault)
 }
 
-// guarded makes one probe; a fault of ours in it counts as the engine's error.
+// guarded makes one probe; a fault of ours in it ends the connection and counts as the engine's error.
 func (p *prober) guarded() (how admission.Outcome, report admission.Report) {
 	defer func() {
 		if fault := recover(); fault != nil {
-			p.e.o.connectionEnded("probe", string(p.e.name), "panic", 0, fault)
+			p.end("panic", fault)
 			how, report = admission.Errored, admission.NoReport
 		}
 	}()
@@ -57,16 +62,17 @@
 // ask makes one probe. Its answer has as long as a connection to come up: the site states no other wait.
 func (p *prober) ask() (admission.Outcome, admission.Report) {
 	within := p.e.o.network.ConnectWithin
-	if time.Since(p.used) > p.e.o.network.IdleClose-within {
-		p.end("idle")
+	if time.Since(p.used) > p.e.o.idleAfter() {
+		p.end("idle", nil)
 	}
-	if p.tcp == nil {
+	if !p.begun {
+		p.begun = true
+		p.e.o.connections.Add(1)
 		tcp, err := net.DialTimeout("tcp", p.e.address, within)
 		if err != nil {
-			p.e.o.connectionEnded("probe", string(p.e.name), endCode(err), 0, nil)
+			p.end(endCode(err), nil)
 			return admission.Unreachable, admission.NoReport
 		}
-		p.e.o.connections.Add(1)
 		p.tcp, p.r = tcp, bufio.NewReaderSize(tcp, resp.MostArray)
 	}
 	p.used = time.Now()
@@ -74,25 +80,22 @@
 	p.tag++
 	tag := "top" + strconv.Itoa(p.tag)
 	if _, err := p.tcp.Write(resp.Array(nil, "top", tag)); err != nil {
-		p.end(endCode(err))
+		p.end(endCode(err), nil)
 		return admission.Reset, admission.NoReport
 	}
+	var parts [][]byte
 	for {
-		b, _ := p.r.Peek(p.r.Buffered())
-		parts, n, err := resp.Parse(b, nil)
-		if err != nil || n > 0 && len(parts) < 2 {
-			p.end("bad_answer")
-			return admission.Errored, admission.NoReport
-		}
-		if n == 0 {
-			if _, err = p.r.Peek(len(b) + 1); errors.Is(err, os.ErrDeadlineExceeded) {
-				p.end("silent")
+		var n int
+		var err error
+		if parts, n, err = nextAnswer(p.r, parts, func() {}); err != nil {
+			p.end(endCode(err), nil)
+			switch {
+			case errors.Is(err, resp.ErrArray):
+				return admission.Errored, admission.NoReport
+			case errors.Is(err, os.ErrDeadlineExceeded):
 				return admission.TimedOut, admission.NoReport
-			} else if err != nil {
-				p.end(endCode(err))
-				return admission.Reset, admission.NoReport
 			}
-			continue
+			return admission.Reset, admission.NoReport
 		}
 		if string(parts[0]) != tag {
 			p.r.Discard(n)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,6 +15,7 @@
 
 	"magpiebank/internal/admission"
 	"magpiebank/internal/deployment"
+	"magpiebank/internal/resp"
 )
 
 // lastRequests is how long after the order to stop requests still come.
@@ -96,18 +97,14 @@
 			delete(o.sessions, s.connection)
 		})
 		s.tcp.Close()
-		code, fault := s.code, recover()
-		if fault != nil {
-			code = "panic"
-		}
-		o.connectionEnded("client", s.tcp.RemoteAddr().String(), code, 0, fault)
-		o.connections.Add(-1)
+		o.connectionEnded("client", s.tcp.RemoteAddr().String(), s.code, 0, recover())
 	}()
 	s.serve()
 }
 
-// connectionEnded writes the one line of a connection that ended.
+// connectionEnded writes the one line of a connection that was counted and has ended.
 func (o *owner) connectionEnded(side, peer, code string, open int, fault any) {
+	defer o.connections.Add(-1)
 	if o.stopped.Load() {
 		code = "stopped"
 	}
@@ -125,6 +122,8 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		return "closed"
+	case errors.Is(err, resp.ErrArray):
+		return "bad_answer"
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return "refused"
 	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -52,16 +52,12 @@
 	mostStatement = 1 << 20
 )
 
-// serve speaks with a client until one of the two ends it, and returns the code of the reason.
-func (s *session) serve() string {
+// serve speaks with a client until one of the two ends it.
+func (s *session) serve() {
 	s.login()
-	for s.code == "" {
-		if !s.read() {
-			break
-		}
+	for s.code == "" && s.read() {
 		s.command()
 	}
-	return s.code
 }
 
 // read takes the next packet's payload in.
@@ -203,7 +199,7 @@
 			return
 		}
 	}
-	s.write(head, rows, mysql.EndRows(nil, number))
+	s.write(head, rows, mysql.EOF(nil, number))
 }
 
 func (s *session) nack(comeBackMS int64) {
--- a/internal/sheet/sheet.go
+++ b/internal/sheet/sheet.go
@@ -64,35 +64,27 @@
 // Err is the first thing that was amiss.
 func (s *Sheet) Err() error { return s.err }
 
-// Num is a number, 0 where there is none.
-func (s *Sheet) Num(path ...any) float64 {
+// get is the value at a path as a T, and the zero T where there is none.
+func get[T any](s *Sheet, want string, path []any) T {
 	v := s.At(path...)
-	f, ok := v.(float64)
+	t, ok := v.(T)
 	if v != nil && !ok {
-		s.Fail("a number", path...)
+		s.Fail(want, path...)
 	}
-	return f
+	return t
 }
 
+// Num is a number, 0 where there is none.
+func (s *Sheet) Num(path ...any) float64 { return get[float64](s, "a number", path) }
+
 // Flag is true or false, false where there is none.
-func (s *Sheet) Flag(path ...any) bool {
-	v := s.At(path...)
-	b, ok := v.(bool)
-	if v != nil && !ok {
-		s.Fail("true or false", path...)
-	}
-	return b
-}
+func (s *Sheet) Flag(path ...any) bool { return get[bool](s, "true or false", path) }
 
 // Text is a text, empty where there is none.
-func (s *Sheet) Text(path ...any) string {
-	v := s.At(path...)
-	t, ok := v.(string)
-	if v != nil && !ok {
-		s.Fail("a text", path...)
-	}
-	return t
-}
+func (s *Sheet) Text(path ...any) string { return get[string](s, "a text", path) }
+
+// List is a list, empty where there is none.
+func (s *Sheet) List(path ...any) []any { return get[[]any](s, "a list", path) }
 
 // Needed is a text that must be there.
 func (s *Sheet) Needed(path ...any) string {
@@ -103,30 +95,16 @@
 	return t
 }
 
-// List is a list, empty where there is none.
-func (s *Sheet) List(path ...any) []any {
-	v := s.At(path...)
-	a, ok := v.([]any)
-	if v != nil && !ok {
-		s.Fail("a list", path...)
-	}
-	return a
-}
-
-// Nums is a list of numbers.
-func (s *Sheet) Nums(path ...any) []float64 {
-	var out []float64
+// each reads the entries of a list one by one.
+func each[T any](s *Sheet, read func(path ...any) T, path []any) (out []T) {
 	for i := range s.List(path...) {
-		out = append(out, s.Num(append(path[:len(path):len(path)], i)...))
+		out = append(out, read(append(path[:len(path):len(path)], i)...))
 	}
 	return out
 }
 
+// Nums is a list of numbers.
+func (s *Sheet) Nums(path ...any) []float64 { return each(s, s.Num, path) }
+
 // Texts is a list of texts.
-func (s *Sheet) Texts(path ...any) []string {
-	var out []string
-	for i := range s.List(path...) {
-		out = append(out, s.Text(append(path[:len(path):len(path)], i)...))
-	}
-	return out
-}
+func (s *Sheet) Texts(path ...any) []string { return each(s, s.Text, path) }
