--- a/cmd/magpielab/experiment.go
+++ b/cmd/magpielab/experiment.go
@@ -143,13 +143,14 @@
 	c := &cobra.Command{Use: "experiment", Short: "Experiments that are built in"}
 	list := &cobra.Command{Use: "list", Short: "List the built-in experiments", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			for _, name := range append(experiment.Names(), "clock-jumps", "starved") {
+			for _, name := range append(experiment.Names(), "clock-jumps", "starved", "statements") {
 				fmt.Fprintln(c.OutOrStdout(), name)
 			}
 			return nil
 		}}
 	var o output
 	var repeat int
+	var seed int64
 	run := &cobra.Command{Use: "run NAME", Short: "Run a built-in experiment; status 1 when a bound is missed", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			switch args[0] {
@@ -157,11 +158,14 @@
 				return clockJumps(c, &o)
 			case "starved":
 				return starved(c, &o)
+			case "statements":
+				return statementsExperiment(c, &o, seed)
 			}
 			return playNamed(c, args[0], &o, repeat, -1)
 		}}
 	o.flags(run)
 	run.Flags().IntVar(&repeat, "repeat", 1, "how many times, with seeds one after the other")
+	run.Flags().Int64Var(&seed, "seed", 101, "of statements: which statements and costs are drawn")
 	c.AddCommand(list, run)
 	return c
 }
--- a/cmd/magpielab/trace.go
+++ b/cmd/magpielab/trace.go
@@ -10,7 +10,7 @@
 
 	"github.com/spf13/cobra"
 
-	"magpiebank/internal/load/importer"
+	"magpiebank/internal/importer"
 	"magpiebank/internal/trace"
 )
 
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -15,34 +15,35 @@
 
 // Router decides for one gateway from what this gateway alone has seen.
 type Router struct {
-	host           Host
-	d              *Deployment
-	rng            *rand.Rand
-	now            Time
-	tasks          []task // the slab; places are reused
-	free           []int32
-	byID           map[TaskID]int32
-	turns          map[string]turn
-	spare          [][]int32 // lines of keys, to be used again
-	engines        []engine
-	named          map[EngineID]int32
-	queues         [][]int32 // held tasks in order of arrival, by tenant and lane
-	ladder         []int     // lanes, highest earnings first
-	used           []float64 // threads running, by tenant
-	tenants        []int     // in the order of release
-	lanes          []learned
-	held           int
-	seq            uint64
-	step           float64 // threads of one query: the mean declared for our lanes
-	takes          []span  // tasks taken and further hand-offs, for the ration
-	credit         float64 // probes that the tasks taken have paid for
-	ran, asked     float64 // thread time of tasks that ended lately, and the work they asked for
-	usual          float64 // work of the tasks sent lately
-	busy           float64 // of engines by their latest reports: what one without a fresh report counts as
-	bar, bestPrice float64 // least price of a task taken on, as a part of the best lane's
-	askAt          Time    // when to ask for the list again; 0: not
-	ticked         Time    // when the timer last went off
-	wanted         Time    // when a held task was last given up for want of room
+	host       Host
+	d          *Deployment
+	rng        *rand.Rand
+	now        Time
+	tasks      []task // the slab; places are reused
+	free       []int32
+	byID       map[TaskID]int32
+	turns      map[string]turn
+	spare      [][]int32 // lines of keys, to be used again
+	engines    []engine
+	named      map[EngineID]int32
+	queues     [][]int32 // held tasks in order of arrival, by tenant and lane
+	ladder     []int     // lanes, highest earnings first
+	used       []float64 // threads running, by tenant
+	tenants    []int     // in the order of release
+	lanes      []learned
+	held       int
+	seq        uint64
+	step       float64 // threads of one query: the mean declared for our lanes
+	takes      []span  // tasks taken and further hand-offs, for the ration
+	credit     float64 // probes that the tasks taken have paid for
+	ran, asked float64 // thread time of tasks that ended lately, and the work they asked for
+	usual      float64 // work of the tasks sent lately
+	busy       float64 // of engines by their latest reports: what one without a fresh report counts as
+	bestPrice  float64 // of a usual task of the best lane
+	pools      []pool
+	gate       Gate // of tasks that have a class
+	askAt      Time // when to ask for the list again; 0: not
+	ticked     Time // when the timer last went off
 }
 
 // tick is the timer's pace: a held task is given up at most this late, well within the answer's slack.
@@ -53,7 +54,7 @@
 	r := &Router{host: host, d: d, rng: rand.New(rand.NewSource(seed)), now: now, byID: map[TaskID]int32{},
 		turns: map[string]turn{}, named: map[EngineID]int32{}, lanes: make([]learned, len(d.Lanes)),
 		used: make([]float64, max(1, len(d.Tenants))), busy: 0.5, credit: mostCredit,
-		ticked: now, wanted: now - Second}
+		ticked: now, pools: []pool{{wanted: now - Second}}}
 	for i := range d.Lanes {
 		l := &d.Lanes[i]
 		r.ran, r.asked = r.ran+float64(l.Quoted), r.asked+float64(l.Quoted)
@@ -83,6 +84,9 @@
 	return r
 }
 
+// Guard hands over what an operator's classes allow, before the first task that has one.
+func (r *Router) Guard(g Gate) { r.gate = g }
+
 // Listed takes in a delivery of the engine list.
 func (r *Router) Listed(now Time, form Form, list []Listing) {
 	r.now = now
@@ -125,7 +129,7 @@
 
 // Arrived takes a task from a client. From here on it is owed one final answer.
 func (r *Router) Arrived(now Time, id TaskID, cutoff Time, lane, tenant int, key string, tables int,
-	work Time) {
+	f Foreseen) {
 	r.now = now
 	if tenant < 0 || tenant >= len(r.used) {
 		tenant = 0
@@ -134,11 +138,11 @@
 	r.seq++
 	r.credit = min(mostCredit, r.credit+probeBudget/max(probeBudget/mostCredit, r.d.ProbePrice))
 	i := r.seat(task{id: id, lane: lane, tenant: tenant, tables: tables, arrived: now, cutoff: cutoff,
-		work: work, seq: r.seq, engine: none, rank: 1})
+		Foreseen: f, seq: r.seq, engine: none, rank: 1})
 	t := &r.tasks[i]
 	length := r.lanes[lane].work
-	if work > 0 {
-		length = float64(work)
+	if f.Work > 0 {
+		length = float64(f.Work)
 		r.learnWork(&r.lanes[lane], length)
 	}
 	t.quoted = min(cutoff, now+l.Quoted+Time(l.Stretch*length/float64(l.Threads)))
@@ -153,8 +157,8 @@
 	}
 	r.hold(i)
 	r.look()
-	if p := r.price(lane, length); p < 0.99*r.bestPrice && p < r.bar*r.bestPrice {
-		r.wanted = now
+	if n, p := r.poolOf(t), r.price(lane, length); p < 0.99*r.bestPrice && p < r.pools[n].bar*r.bestPrice {
+		r.pools[n].wanted = now
 		r.giveUp(i)
 		return
 	}
@@ -173,8 +177,9 @@
 	for n := len(r.ladder) - 1; n >= 0 && r.d.Seats > 0 && len(r.byID) > r.d.Seats-r.d.Seats/spare; n-- {
 		for _, tenant := range r.tenants {
 			if q := r.queues[tenant*len(r.d.Lanes)+r.ladder[n]]; len(q) > 0 {
-				r.wanted = r.now
-				r.giveUp(q[len(q)-1])
+				last := q[len(q)-1]
+				r.pools[r.poolOf(&r.tasks[last])].wanted = r.now
+				r.giveUp(last)
 				return
 			}
 		}
@@ -183,14 +188,15 @@
 
 // moveBar sets the least price, in earnings for work, at which tasks are taken on: up while a held task has
 // used up half of its useful time, else down. By earnings alone cheap lanes would starve behind dear ones.
+// Each pool has its own: one that is crowded or gone turns nobody away elsewhere.
 // Harm: where estimates are off beyond what answers correct, a lane is shed before others.
-func (r *Router) moveBar(starving bool) {
+func (p *pool) moveBar() {
 	const rise, fall = 1.06, 0.97     // a tick: doubled in a quarter of a second, halved in twice that
 	const lowest, highest = 0.02, 1.5 // of the best lane's price, whose usual tasks pass all the same
-	if starving {
-		r.bar = min(highest, max(lowest, r.bar*rise))
-	} else if r.bar *= fall; r.bar < lowest {
-		r.bar = 0 // nobody waits long: what earns next to nothing for its work passes, too
+	if p.starving {
+		p.bar = min(highest, max(lowest, p.bar*rise))
+	} else if p.bar *= fall; p.bar < lowest {
+		p.bar = 0 // nobody waits long: what earns next to nothing for its work passes, too
 	}
 }
 
@@ -207,13 +213,20 @@
 	}
 	for _, tenant := range r.tenants {
 		for _, lane := range r.ladder {
+			tried := uint64(0) // classes of which one found no engine
 			for _, i := range r.queues[tenant*len(r.d.Lanes)+lane] {
 				t := &r.tasks[i]
+				if tried>>t.Class&1 == 1 && t.tries == 0 && t.key == "" {
+					continue
+				}
 				if e := r.draw(t); e != none && r.handOff(i, e) {
 					return true
 				}
 				if t.tries == 0 && t.key == "" {
-					break // what follows it in this lane has no more choice than this one
+					if r.gate == nil {
+						break // what follows it in this lane has no more choice than this one
+					}
+					tried |= 1 << t.Class // nor has what is of its class
 				}
 			}
 		}
@@ -229,7 +242,7 @@
 		return none
 	}
 	total, pick := 0.0, none
-	least := r.leastDistrust()
+	least := r.leastDistrust(r.poolOf(t))
 	for i := range r.engines {
 		e := &r.engines[i]
 		over := r.score(e) - least
@@ -328,7 +341,8 @@
 // mayTry is the part of the rules that doesn't depend on the engine: one hand-off at a time, none after the
 // end, the order of keys, the most hand-offs of a task, the ration of further ones.
 func (r *Router) mayTry(t *task) bool {
-	if t.out || t.gone || r.now >= t.cutoff || r.spent(t) {
+	if t.out || t.gone || r.now >= t.cutoff || r.spent(t) ||
+		t.Class > 0 && !r.gate.Open(r.now, t.Class, float64(r.d.Lanes[t.lane].Threads)) {
 		return false
 	}
 	if t.key != "" {
@@ -353,14 +367,14 @@
 func (r *Router) mayUse(t *task, e *engine) bool {
 	l := &r.d.Lanes[t.lane]
 	if e.State != Live || l.Zones != nil && !slices.Contains(l.Zones, e.Zone) ||
-		l.Kinds != nil && !slices.Contains(l.Kinds, e.Kind) {
+		l.Kinds != nil && !slices.Contains(l.Kinds, e.Kind) || !r.in(r.poolOf(t), e) {
 		return false
 	}
 	if t.mayRan && l.Effect == Deduplicated && (l.Within == SameZone && e.Zone != t.doubtZone ||
 		l.Within == SameCell && (e.Group != t.doubtGroup || e.Zone != t.doubtZone)) {
 		return false
 	}
-	return !r.isCold(e) || r.coldRoom(e, t.lane)
+	return !r.isCold(e) || r.coldRoom(e, t)
 }
 
 func (r *Router) isCold(e *engine) bool {
@@ -370,10 +384,10 @@
 // coldRoom tells whether a cold engine can be sent some work. All routers together may send a multiple of its
 // present capacity, of which only the least is known. As parts would be below a task where there are many,
 // they take turns by their numbers, a span each with one of rest, so that no span sees two of them.
-func (r *Router) coldRoom(e *engine, lane int) bool {
-	const careful = 0.5   // of the budget: engines are slower than their cores tell
-	d := &r.d.Lanes[lane] // its work is taken for rather too much until it is learned
-	work := r.lanes[lane].work + float64(d.Quoted)*float64(d.Threads)/(r.lanes[lane].tasks+1)
+func (r *Router) coldRoom(e *engine, t *task) bool {
+	const careful = 0.5     // of the budget: engines are slower than their cores tell
+	d := &r.d.Lanes[t.lane] // its work is taken for rather too much until it is learned
+	work := r.coldWork(t) + float64(d.Quoted)*float64(d.Threads)/(r.lanes[t.lane].tasks+1)
 	turn := r.now / (2 * r.d.TipAfter)
 	if (turn+Time(e.hash))%Time(r.d.Gateways) != Time(r.d.Me) || r.now%(2*r.d.TipAfter) >= r.d.TipAfter {
 		return false
@@ -384,6 +398,9 @@
 	return e.cold+work <= careful*r.d.TipFactor*r.d.ColdShare*e.cores*float64(r.d.TipAfter)
 }
 
+// coldWork is what a task counts against a cold engine's budget: what nine of ten stay under, where told.
+func (r *Router) coldWork(t *task) float64 { return max(r.lanes[t.lane].work, float64(t.Upper)) }
+
 // The ration's window is counted in this many spans; one more is kept, so that whole spans cover the window.
 const spans = 50
 
@@ -411,20 +428,22 @@
 	r.usual += 0.2 * (learned.work - r.usual) // some five hand-offs
 	t.tries++
 	if r.isCold(e) {
-		e.cold += learned.work
+		e.cold += r.coldWork(t)
+	}
+	if t.memory = learned.memory; t.Memory > 0 {
+		t.memory = t.Memory
 	}
-	t.memory = learned.memory
 	e.memory += t.memory
 	e.running += threads
 	e.since += threads
 	e.luck = math.Inf(1)
 	r.used[t.tenant] += threads
 	grant := 0.0
-	if r.d.Grants && r.d.Swaps && learned.memory > 0 {
+	if r.d.Grants && r.d.Swaps && t.memory > 0 {
 		// Where an engine swaps, memory granted and not needed costs nothing and too little spills; needs
 		// scatter, and three times the mean covers nearly all.
 		const ample = 3
-		grant = ample * learned.memory
+		grant = ample * t.memory
 	}
 	if rank := learned.rank; grant > 0 || rank != t.rank {
 		t.rank = rank
@@ -500,8 +519,8 @@
 // time if it runs as its lane usually does. It is always answered before its cut-off.
 func (r *Router) latest(t *task) Time {
 	usual := r.lanes[t.lane].run
-	if t.work > 0 {
-		usual *= float64(t.work) / r.lanes[t.lane].work
+	if t.Work > 0 {
+		usual *= float64(t.Work) / r.lanes[t.lane].work
 	}
 	const slack, most = 1.5, 2.0 / 3 // usual runs kept free, and at most this part of the time to the quoted one
 	free := min(slack*usual, most*float64(t.quoted-t.arrived))
@@ -544,7 +563,7 @@
 	l.run += max(recent, 1/l.answers) * (run - l.run)
 	l.memory += 1 / l.answers * (memory - l.memory)
 	cost := r.cost(t, work)
-	if t.work == 0 {
+	if t.Work == 0 {
 		r.learnWork(l, cost)
 	}
 	// How many times its work a task takes where nothing is crowded: it falls with the answers and hardly rises.
@@ -558,7 +577,7 @@
 // cost is a task's work, as its answer tells, else as estimated; else it took what it ran.
 func (r *Router) cost(t *task, work Time) float64 {
 	run := float64(r.now-t.sentAt) * float64(r.d.Lanes[t.lane].Threads)
-	if told := max(work, t.work); told > 0 {
+	if told := max(work, t.Work); told > 0 {
 		return float64(told)
 	} else if r.d.TellsCost {
 		return min(run, r.lanes[t.lane].work) // no answer came
@@ -618,6 +637,16 @@
 // The signal's threshold: held queries a core times the mean declared threads.
 const threshold = 2
 
+// wanted tells whether a task of an engine's pools was given up for want of room within the last second.
+func (r *Router) wanted(e *engine) bool {
+	for n := range r.pools {
+		if r.now-r.pools[n].wanted < Second && r.in(n, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // signal is how loaded an engine is, in units of the threshold. Where it reports no held queries, its
 // utilisation stands in; where it reports nothing, our own held count there does, for all gateways.
 func (r *Router) signal(e *engine) float64 {
@@ -637,7 +666,7 @@
 	case e.util <= low:
 		return 0
 	}
-	if part := threshold * e.cores / float64(r.d.Gateways); signal < threshold && r.now-r.wanted < Second &&
+	if part := threshold * e.cores / float64(r.d.Gateways); signal < threshold && r.wanted(e) &&
 		e.running-e.since < part {
 		// An exception to the still band: while held tasks are given up for want of room and our own count is
 		// under our part of the threshold, room is taken: the band is wide, and a bound stepped down in a burst,
@@ -746,7 +775,7 @@
 func (r *Router) doubt(e *engine, points float64) {
 	e.distrust = min(mostDoubted, r.score(e)+points)
 	e.distrustAt = r.now
-	if e.distrust-r.leastDistrust() >= shut && (e.saidAt == 0 || r.now-e.saidAt >= 10*Second) {
+	if e.distrust-r.leastDistrust(0) >= shut && (e.saidAt == 0 || r.now-e.saidAt >= 10*Second) {
 		e.saidAt = r.now // a person acts on the first line
 		r.host.Say(fmt.Sprintf("engine %s distrusted: no new tasks until the score fades", e.Engine))
 	}
@@ -759,10 +788,10 @@
 	return e.distrust * math.Exp2(-float64(r.now-e.distrustAt)/float64(halfLife))
 }
 
-func (r *Router) leastDistrust() float64 {
+func (r *Router) leastDistrust(pool int) float64 {
 	least := mostDoubted
 	for i := range r.engines {
-		if e := &r.engines[i]; e.State == Live {
+		if e := &r.engines[i]; e.State == Live && r.in(pool, e) {
 			least = min(least, r.score(e))
 		}
 	}
@@ -789,21 +818,27 @@
 			r.stepBound(e, r.signal(e), Second)
 		}
 	}
-	starving := false
+	for n := range r.pools {
+		r.pools[n].starving = false
+	}
 	for i := range r.tasks {
 		t := &r.tasks[i]
 		if t.id == "" || t.out {
 			continue
 		}
-		last := r.latest(t)
-		starving = starving || t.queued && now-t.arrived > (last-t.arrived)/2 && r.mayTry(t)
+		last, p, can := r.latest(t), r.poolOf(t), t.Class == 0 || r.mayTry(t)
+		r.pools[p].starving = r.pools[p].starving || t.queued && now-t.arrived > (last-t.arrived)/2 && r.mayTry(t)
 		if now >= last {
-			r.wanted = now
+			if can { // not for its class's limit alone
+				r.pools[p].wanted = now
+			}
 			r.giveUp(int32(i))
 		}
 	}
 	r.ticked = now
-	r.moveBar(starving)
+	for n := range r.pools {
+		r.pools[n].moveBar()
+	}
 	r.rankLanes()
 	r.restTurns()
 	r.release()
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -46,7 +46,7 @@
 		s := start(d, "e1")
 		s.engines[0].bound = 1
 		for i, id := range []TaskID{"first0", "x0", "y0", "x1"} {
-			s.Arrived(s.at, id, 10*Second, 0, i/3, "", 0, 0)
+			s.Arrived(s.at, id, 10*Second, 0, i/3, "", 0, Foreseen{})
 		}
 		s.used[0] = 2
 		s.end("first0", Delivered)
@@ -74,13 +74,13 @@
 			e.report, e.util = Report{-1, u, -1, -1}, u
 			show(fmt.Sprintf("utilisation %.2f", u))
 		}
-		e.util, e.running, s.wanted = 0.6, 4, s.at
+		e.util, e.running, s.pools[0].wanted = 0.6, 4, s.at
 		show("utilisation 0.60 while tasks are given up for want of room")
 		e.running = 8
 		show("the same with two threads of ours a core")
 		e.report, e.running = Report{3.5, -1, -1, -1}, 4
 		show("3.5 held on 4 cores, 4 threads of ours, while tasks are given up")
-		s.wanted = 0
+		s.pools[0].wanted = 0
 		show("the same while none is given up")
 		e.running = 8
 		s.now += stale
@@ -193,7 +193,7 @@
 	},
 	"too late": func() *script { // what comes just before its cut-off and finds no room is answered at once
 		s := start(deployment())
-		s.Arrived(0, "a", 5*Millisecond, 0, 0, "", 0, 0)
+		s.Arrived(0, "a", 5*Millisecond, 0, 0, "", 0, Foreseen{})
 		return s
 	},
 	"cold": func() *script { // routers take turns at a cold engine, with a rest between, each within the budget
@@ -207,8 +207,8 @@
 		for range 13 {
 			s.now = s.at
 			for d.Me = range 3 {
-				if s.coldRoom(e, 0) {
-					s.say("gateway %d has its turn; more work than its budget: %t", d.Me, s.coldRoom(e, 1))
+				if s.coldRoom(e, &task{lane: 0}) {
+					s.say("gateway %d has its turn; more work than its budget: %t", d.Me, s.coldRoom(e, &task{lane: 1}))
 				}
 			}
 			s.at += 500 * Millisecond
@@ -294,7 +294,7 @@
 		s.task("a", 1, 800*Millisecond, "")
 		s.task("held", 1, 800*Millisecond, "")
 		s.pass(1560 * Millisecond)
-		s.say("bar %.2f of the best lane's price", s.bar)
+		s.say("bar %.2f of the best lane's price", s.pools[0].bar)
 		s.task("short", 1, 800*Millisecond, "")
 		s.task("long", 1, 60*Second, "")
 		return s
@@ -304,7 +304,7 @@
 		s.answer(20, 100*Millisecond, 100*Millisecond)
 		s.pass(s.at + Second)
 		s.rankLanes()
-		s.say("bar %.2f, price of the long one %.3f of the best", s.bar, s.price(0, 10000*float64(Millisecond))/s.bestPrice)
+		s.say("bar %.2f, price of the long one %.3f of the best", s.pools[0].bar, s.price(0, 10000*float64(Millisecond))/s.bestPrice)
 		s.task("long", 0, 10*Second, "")
 		return s
 	},
@@ -323,7 +323,7 @@
 		s.say("busy share %.2f", s.told(e))
 		for i := range 20 {
 			id := TaskID(fmt.Sprint("t", i))
-			s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, 0)
+			s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, Foreseen{})
 			s.at += 300 * Millisecond
 			s.Ended(s.at, id, Delivered, true, 100*Millisecond, 0, NoReport)
 		}
@@ -442,7 +442,7 @@
 	for n := range 5000 {
 		name, id := EngineID(fmt.Sprint("e", n)), TaskID(fmt.Sprint("t", n))
 		s.Listed(s.at, Changes, []Listing{{Engine: name}})
-		s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, 0)
+		s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, Foreseen{})
 		s.Probed(s.at, name, Delivered, Report{-1, 0.1, -1, -1})
 		s.Listed(s.at, Changes, []Listing{{Engine: name, State: Gone}})
 		s.Ended(s.at, id, Outcome(n%9), n%9 == 0, 0, 0, NoReport)
@@ -462,8 +462,8 @@
 	now := Time(0)
 	round := func() {
 		now += 5 * Millisecond
-		r.Arrived(now, "a", now+Second, 0, 0, "", 3, 50*Millisecond)
-		r.Arrived(now, "b", now+Second, 3, 0, "key", 3, 0)
+		r.Arrived(now, "a", now+Second, 0, 0, "", 3, Foreseen{Work: 50 * Millisecond})
+		r.Arrived(now, "b", now+Second, 3, 0, "key", 3, Foreseen{})
 		r.Due(now)
 		r.Probed(now, "e1", Delivered, Report{-1, float64(now%100) / 100, -1, -1})
 		r.Ended(now, "a", Delivered, true, 0, 0, NoReport)
--- a/internal/admission/host.go
+++ b/internal/admission/host.go
@@ -22,3 +22,13 @@
 	// Say adds a line to the router's log.
 	Say(text string)
 }
+
+// Gate is what an operator's classes allow; it is asked only about tasks that have a class.
+type Gate interface {
+	// Open tells whether one more task of a class, of so many threads, may go out now.
+	Open(now Time, class int, threads float64) bool
+	// Pool is the number of the class's pool; 0: all engines.
+	Pool(class int) int
+	// In tells whether an engine belongs to a pool.
+	In(pool int, engine *Listing) bool
+}
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -77,7 +77,7 @@
 // task brings a task of the given lane with 10 s to its cut-off.
 func (s *script) task(id TaskID, lane int, work Time, key string) {
 	s.say("%s arrives in lane %d", id, lane)
-	s.Arrived(s.at, id, s.at+10*Second, lane, 0, key, 0, work)
+	s.Arrived(s.at, id, s.at+10*Second, lane, 0, key, 0, Foreseen{Work: work})
 }
 
 func (s *script) end(id TaskID, how Outcome) {
@@ -90,7 +90,7 @@
 func (s *script) answer(n int, told, took Time) {
 	for i := range n {
 		id := TaskID(fmt.Sprint("t", i))
-		s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, told)
+		s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, Foreseen{Work: told})
 		s.at += took
 		s.Ended(s.at, id, Delivered, true, 0, 0, NoReport)
 	}
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -11,16 +11,23 @@
 	key                     string
 	lane, tenant, tables    int
 	arrived, cutoff, quoted Time
-	work                    Time // as estimated; 0: not told
-	seq                     uint64
-	memory                  float64
-	tries, errors           int
-	out, gone, mayRan       bool
-	queued                  bool
-	engine                  int32 // of the last hand-off
-	sentAt, until, doubtAt  Time
-	doubtZone, doubtGroup   int
-	rank                    int
+	Foreseen
+	seq                    uint64
+	memory                 float64
+	tries, errors          int
+	out, gone, mayRan      bool
+	queued                 bool
+	engine                 int32 // of the last hand-off
+	sentAt, until, doubtAt Time
+	doubtZone, doubtGroup  int
+	rank                   int
+}
+
+// pool is a part of the fleet that an operator keeps for some classes; the first is all of it.
+type pool struct {
+	bar      float64 // least price of a task taken on, as a part of the best lane's
+	starving bool    // a held task has used up much of its time
+	wanted   Time    // when a held task was last given up for want of room
 }
 
 // turn is the line of tasks that share a key: the first may be handed off once the key has rested.
@@ -73,6 +80,21 @@
 
 const none = int32(-1) // no engine
 
+// poolOf is the number of a task's pool, with room for what is kept of it.
+func (r *Router) poolOf(t *task) int {
+	if t.Class == 0 {
+		return 0
+	}
+	n := r.gate.Pool(t.Class)
+	for len(r.pools) <= n {
+		r.pools = append(r.pools, pool{wanted: r.now - Second})
+	}
+	return n
+}
+
+// in tells whether an engine belongs to a pool.
+func (r *Router) in(pool int, e *engine) bool { return pool == 0 || r.gate.In(pool, &e.Listing) }
+
 // seat gives a task a place in the slab.
 func (r *Router) seat(t task) int32 {
 	i := int32(len(r.tasks))
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -35,6 +35,14 @@
 // NeverRan tells whether the outcome proves that the engine did not begin the task.
 func (o Outcome) NeverRan() bool { return o == Full || o == Unreachable || o == Moot }
 
+// Foreseen is what is known of a task before it has run; a figure of zero is not told.
+type Foreseen struct {
+	Work   Time    // on one thread, usually
+	Upper  Time    // that nine of ten stay under
+	Memory float64 // MB
+	Class  int     // into which an operator's rules put it
+}
+
 // State is what the engine list says of an engine.
 type State uint8
 
--- a/internal/capture/capture.go
+++ b/internal/capture/capture.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"magpiebank/internal/mysql"
+	"magpiebank/internal/sqltext"
 	"magpiebank/internal/trace"
 )
 
@@ -103,7 +104,7 @@
 		return
 	}
 	r := trace.Record{At: time.Since(c.start), Lane: lane, Group: group, WaitMS: waitMS, Retry: mysql.Retried(sql),
-		Shape: mysql.Shape(statement)}
+		Shape: sqltext.Shape(statement)}
 	if c.text {
 		r.Text = string(statement)
 	}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,243 @@
+// Package command is the gateway's command line, which two programs share: magpiebank, and magpiebank-operator, which has
+// an operator's rules besides and takes magpiebank's place where they are asked for.
+package command
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"magpiebank/internal/capture"
+	"magpiebank/internal/deployment"
+	"magpiebank/internal/router"
+)
+
+const version = "0.1.0"
+
+// Rules are an operator's, as a gateway goes by them.
+type Rules interface {
+	router.Desk
+	Reload() error // reads the file again
+	Save()         // writes what was learned to where the file says
+}
+
+// Program is what a program has besides the gateway.
+type Program struct {
+	Operator func(file string, start *deployment.Start, log *slog.Logger) (Rules, error) // nil: another program has the rules
+	Commands []*cobra.Command
+}
+
+// Beside is the program that has an operator's rules. It takes the place of one that has not, in the same process.
+const Beside = "magpiebank-operator"
+
+// become turns this process into the program beside it, with the same arguments.
+func become() error {
+	self, err := os.Executable()
+	if err != nil {
+		return cannot{err}
+	}
+	program := filepath.Join(filepath.Dir(self), Beside)
+	if _, err := exec.LookPath(program); err != nil {
+		return cannot{fmt.Errorf("an operator's rules need the program %s beside this one: %w", Beside, err)}
+	}
+	return cannot{syscall.Exec(program, append([]string{Beside}, os.Args[1:]...), os.Environ())}
+}
+
+const usage = `Magpiebank is one router before analytic engines.
+
+  magpiebank serve       serve clients until told to stop by SIGTERM; SIGHUP has the configuration read again
+  magpiebank check       read the configuration, print what it says, and stop
+  magpiebank statement   what is read of statements, and what was learned of them
+  magpiebank version     print the version
+
+Each takes --help. To see it at work without a configuration: magpielab demo.
+`
+
+// The exit statuses.
+const (
+	failed = 1
+	misuse = 2 // of the command line or the configuration
+)
+
+// cannot is an error of what was asked for, not of the command line or the configuration.
+type cannot struct{ error }
+
+// errNoConfiguration says what a first start lacks.
+var errNoConfiguration = errors.New("no configuration: name its file by --config or $RELAY_CONFIG; " +
+	"to see a gateway at work without one, run magpielab demo")
+
+// Run carries out one command and returns its exit status.
+func (p Program) Run(args []string, env func(string) string, out, errs io.Writer) int {
+	root := &cobra.Command{Use: "magpiebank", SilenceErrors: true, SilenceUsage: true, Args: cobra.ArbitraryArgs,
+		CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true},
+		RunE: func(_ *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return fmt.Errorf("no command %q\n\n%s", args[0], usage)
+			}
+			return errors.New("no command\n\n" + usage)
+		}}
+	root.SetHelpFunc(func(c *cobra.Command, _ []string) {
+		if c == root {
+			fmt.Fprint(out, usage)
+			return
+		}
+		fmt.Fprintf(out, "%s\n\n%s", c.Short, c.UsageString())
+	})
+	if p.Operator == nil {
+		root.AddCommand(&cobra.Command{Use: "statement", Short: "What is read of statements, and what was learned of them",
+			DisableFlagParsing: true, RunE: func(*cobra.Command, []string) error { return become() }})
+	}
+	root.AddCommand(p.Commands...)
+	root.AddCommand(p.serveCommand(env, errs), p.checkCommand(env, out), &cobra.Command{Use: "version", Short: "Print the version",
+		Args: cobra.NoArgs, Run: func(*cobra.Command, []string) { fmt.Fprintln(out, "magpiebank", version) }})
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.Execute()
+	var c cannot
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &c):
+		fmt.Fprintln(errs, "magpiebank:", err)
+		return failed
+	}
+	fmt.Fprintln(errs, "magpiebank:", strings.TrimSuffix(err.Error(), "\n"))
+	return misuse
+}
+
+// source is where a command reads its configuration.
+type source struct{ path, listen, level, operator string }
+
+func (s *source) flags(c *cobra.Command, env func(string) string) {
+	c.Flags().StringVar(&s.path, "config", env("RELAY_CONFIG"), "file with the configuration; default $RELAY_CONFIG")
+	c.Flags().StringVar(&s.listen, "listen", env("RELAY_LISTEN"),
+		"address to listen on, in place of the configuration's; default $RELAY_LISTEN")
+	c.Flags().StringVar(&s.operator, "operator", "", "the operator's own file, in Jsonnet; default none")
+	c.Flags().StringVar(&s.level, "log-level", "info", "least level logged: debug, info, warn or error")
+}
+
+func (s *source) read() (start *deployment.Start, least slog.Level, err error) {
+	if err := least.UnmarshalText([]byte(s.level)); err != nil {
+		return nil, least, fmt.Errorf("flag log-level: %w", err)
+	}
+	if s.path == "" {
+		return nil, least, errNoConfiguration
+	}
+	if start, err = deployment.ReadStart(s.path); err != nil {
+		return nil, least, err
+	}
+	if s.listen != "" {
+		start.Listen = s.listen
+	}
+	return start, least, nil
+}
+
+func (p Program) checkCommand(env func(string) string, out io.Writer) *cobra.Command {
+	var from source
+	c := &cobra.Command{Use: "check", Short: "Read the configuration, print what it says, and stop", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if from.operator != "" && p.Operator == nil {
+				return become()
+			}
+			start, _, err := from.read()
+			if err != nil {
+				return err
+			}
+			if from.operator != "" {
+				if _, err := p.Operator(from.operator, start, slog.New(slog.DiscardHandler)); err != nil {
+					return err
+				}
+			}
+			fmt.Fprintf(out, "%s listens on %s, one of %d; lanes %q; engine list at %s\n", start.Name, start.Listen,
+				start.Site.Gateways, start.Network.Lanes, start.EngineList)
+			return nil
+		}}
+	from.flags(c, env)
+	return c
+}
+
+// usualCapture bounds a recording whose size nobody named: some millions of tasks without their text.
+const usualCapture = 256
+
+func (p Program) serveCommand(env func(string) string, errs io.Writer) *cobra.Command {
+	var from source
+	var file string
+	var most int64
+	var text bool
+	c := &cobra.Command{Use: "serve", Short: "Serve clients until told to stop by SIGTERM; SIGHUP has the configuration read again",
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if from.operator != "" && p.Operator == nil {
+				return become()
+			}
+			ends, hups := make(chan os.Signal, 1), make(chan os.Signal, 1)
+			signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT) // from here on, so that neither ends a router that is starting
+			signal.Notify(hups, syscall.SIGHUP)
+			start, least, err := from.read()
+			if err != nil {
+				return err
+			}
+			log := slog.New(slog.NewTextHandler(errs, &slog.HandlerOptions{Level: least}))
+			var tape *capture.Capture
+			if file != "" {
+				if tape, err = capture.Start(file, most<<20, text, log); err != nil {
+					return cannot{err}
+				}
+			}
+			defer tape.Stop()
+			var rules Rules
+			var desk router.Desk
+			if from.operator != "" {
+				if rules, err = p.Operator(from.operator, start, log); err != nil {
+					return err
+				}
+				desk = rules
+				saves := make(chan os.Signal, 1)
+				signal.Notify(saves, syscall.SIGUSR1)
+				go func() {
+					for range saves {
+						rules.Save()
+					}
+				}()
+				defer rules.Save()
+			}
+			stop, renewed := make(chan struct{}), make(chan *deployment.Start)
+			go func() {
+				<-ends
+				close(stop)
+			}()
+			go func() {
+				for range hups {
+					if rules != nil {
+						if err := rules.Reload(); err != nil {
+							log.Warn("operator's file", "code", "kept", "error", err)
+						}
+					}
+					if next, _, err := from.read(); err != nil {
+						log.Warn("configuration", "code", "kept", "error", err)
+					} else {
+						renewed <- next
+					}
+				}
+			}()
+			if err := router.Serve(start, tape, desk, log, stop, renewed); err != nil {
+				return cannot{err}
+			}
+			return nil
+		}}
+	from.flags(c, env)
+	c.Flags().StringVar(&file, "capture", "", "record the tasks that come to this new file, for magpielab to play again")
+	c.Flags().Int64Var(&most, "capture-mb", usualCapture, "most megabytes that the file grows to")
+	c.Flags().BoolVar(&text, "capture-text", false, "record statements with their literals, not their shapes only")
+	return c
+}
--- a/cmd/magpiebank/main_test.go
+++ b/internal/command/command_test.go
@@ -1,4 +1,4 @@
-package main
+package command
 
 import (
 	"fmt"
@@ -24,7 +24,7 @@
 	for _, args := range []string{"check", "check --listen 127.0.0.1:5050", "check --config " + dir + "/none", "version",
 		"serve --log-level loud", "serve --quick", "ride", "version"} {
 		var out, errs strings.Builder
-		status := run(strings.Fields(args), env, &out, &errs)
+		status := Program{}.Run(strings.Fields(args), env, &out, &errs)
 		first, _, _ := strings.Cut(errs.String(), "\n")
 		fmt.Printf("%d %s%s\n", status, strings.TrimSpace(out.String()), strings.ReplaceAll(first, dir, "DIR"))
 	}
@@ -46,7 +46,7 @@
 	}
 	r, w := io.Pipe()
 	status := make(chan int)
-	go func() { status <- run([]string{"serve", "--config", path}, os.Getenv, io.Discard, w) }()
+	go func() { status <- Program{}.Run([]string{"serve", "--config", path}, os.Getenv, io.Discard, w) }()
 	var log strings.Builder
 	b := make([]byte, 4096)
 	for _, step := range []struct{ old, new, want string }{
--- /dev/null
+++ b/internal/digest/digest.go
@@ -0,0 +1,210 @@
+// Package digest sums up recorded statements by their shapes: which cost most, and what makes them so.
+package digest
+
+import (
+	"cmp"
+	"html/template"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"fmt"
+
+	"magpiebank/internal/sqltext"
+	"magpiebank/internal/statement"
+)
+
+// Entry is one recorded statement.
+type Entry struct {
+	Shape    uint64
+	Group    int
+	Text     string // empty: it was not recorded
+	Took     time.Duration
+	Examined int64 // rows
+}
+
+// Row is what is known of one shape.
+type Row struct {
+	Shape    string   `json:"shape"`
+	Count    int      `json:"count"`
+	Share    float64  `json:"share"`    // of the time of all, or of their number where no time is known
+	TotalMS  float64  `json:"total_ms"` // 0: not known
+	MeanMS   float64  `json:"mean_ms"`
+	P50MS    float64  `json:"p50_ms"`
+	P99MS    float64  `json:"p99_ms"`
+	WorstMS  float64  `json:"worst_ms"`
+	Bad      float64  `json:"bad_share"` // of those that took five times the median and more
+	Examined float64  `json:"rows_examined_mean"`
+	Groups   int      `json:"groups"` // of tables
+	Verb     string   `json:"verb"`   // empty: no text was recorded
+	Full     string   `json:"full_scan_of"`
+	Parsed   bool     `json:"parsed"`
+	Tables   []string `json:"tables"`
+	Normal   string   `json:"normal"`
+}
+
+// Digest is a whole recording.
+type Digest struct {
+	Statements int     `json:"statements"`
+	Shapes     int     `json:"shapes"`
+	TotalMS    float64 `json:"total_ms"`
+	Learned    int     `json:"statements_by_snapshot"` // whose time is what a snapshot says they usually take
+	Rows       []Row   `json:"rows"`                   // the dearest first
+	LeftOut    int     `json:"shapes_left_out"`
+	LeftShare  float64 `json:"share_left_out"`
+}
+
+// Costs says what a shape on a group of tables usually takes, for recordings without times.
+type Costs func(shape uint64, group int) (ms float64, ok bool)
+
+type sum struct {
+	shape    uint64
+	count    int
+	total    float64
+	worst    float64
+	examined int64
+	sketch   statement.Sketch
+	groups   map[int]bool
+	text     string
+}
+
+// mostGroups bounds the groups counted of a shape; more are shown as that many.
+const mostGroups = 1000
+
+// Of sums up entries and keeps the dearest shapes. tables is what an operator says of tables, costs what a snapshot says;
+// both may be nil.
+func Of(entries []Entry, most int, tables statement.Tables, costs Costs) *Digest {
+	d := &Digest{Statements: len(entries)}
+	sums := map[uint64]*sum{}
+	var order []*sum
+	for i := range entries {
+		e := &entries[i]
+		s := sums[e.Shape]
+		if s == nil {
+			s = &sum{shape: e.Shape, groups: map[int]bool{}}
+			sums[e.Shape] = s
+			order = append(order, s)
+		}
+		s.count++
+		ms := float64(e.Took) / float64(time.Millisecond)
+		if ms == 0 && costs != nil {
+			var ok bool
+			if ms, ok = costs(e.Shape, e.Group); ok {
+				d.Learned++
+			}
+		}
+		if ms > 0 {
+			s.total += ms
+			s.worst = max(s.worst, ms)
+			s.sketch.Add(ms)
+		}
+		s.examined += e.Examined
+		if len(s.groups) < mostGroups {
+			s.groups[e.Group] = true
+		}
+		if s.text == "" {
+			s.text = e.Text
+		}
+		d.TotalMS += ms
+	}
+	d.Shapes = len(order)
+	share := func(s *sum) float64 {
+		if d.TotalMS > 0 {
+			return s.total / d.TotalMS
+		}
+		return float64(s.count) / float64(max(1, d.Statements))
+	}
+	slices.SortStableFunc(order, func(a, b *sum) int { return cmp.Compare(share(b), share(a)) })
+	for n, s := range order {
+		if n >= most {
+			d.LeftOut++
+			d.LeftShare += share(s)
+			continue
+		}
+		r := Row{Shape: fmt.Sprintf("%016x", s.shape), Count: s.count, Share: share(s), TotalMS: s.total, WorstMS: s.worst,
+			Examined: float64(s.examined) / float64(s.count), Groups: len(s.groups)}
+		if timed := s.sketch.Count(); timed > 0 {
+			r.MeanMS = s.total / float64(s.count)
+			r.P50MS, r.P99MS = min(s.worst, s.sketch.Quantile(0.5)), min(s.worst, s.sketch.Quantile(0.99))
+			_, _, r.Bad, _ = s.sketch.Modes()
+		}
+		if s.text != "" {
+			f := statement.ReadWith([]byte(s.text), tables)
+			r.Verb, r.Parsed = f.Verb.String(), f.Parsed
+			if t := f.Full(); t != nil {
+				r.Full = t.String()
+			}
+			for i := range f.Tables {
+				r.Tables = append(r.Tables, f.Tables[i].String())
+			}
+			r.Normal = strings.TrimSpace(string(sqltext.Normal(nil, []byte(s.text))))
+		}
+		d.Rows = append(d.Rows, r)
+	}
+	return d
+}
+
+// Text writes a digest as a table.
+func (d *Digest) Text(out io.Writer) error {
+	fmt.Fprintf(out, "%d statements of %d shapes, %.1f s in all\n", d.Statements, d.Shapes, d.TotalMS/1000)
+	if d.Learned > 0 {
+		fmt.Fprintf(out, "%d of them by what the snapshot says they usually take\n", d.Learned)
+	}
+	fmt.Fprintln(out)
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "share\tcount\tmean ms\tp50\tp99\tworst\tbad\trows read\tgroups\tverb\t")
+	for _, r := range d.Rows {
+		fmt.Fprintf(w, "%.1f%%\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f%%\t%.0f\t%d\t%s\t\n", 100*r.Share, r.Count, r.MeanMS, r.P50MS, r.P99MS,
+			r.WorstMS, 100*r.Bad, r.Examined, r.Groups, r.Verb)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if d.LeftOut > 0 {
+		fmt.Fprintf(out, "%d more shapes, %.1f%%\n", d.LeftOut, 100*d.LeftShare)
+	}
+	for n, r := range d.Rows {
+		fmt.Fprintf(out, "\n%d. shape %s\n", n+1, r.Shape)
+		if r.Normal == "" {
+			fmt.Fprintln(out, "   its text was not recorded")
+			continue
+		}
+		fmt.Fprintf(out, "   %s\n", cut(r.Normal, 400))
+		if r.Full != "" {
+			fmt.Fprintf(out, "   reads the whole of %s\n", r.Full)
+		}
+	}
+	return nil
+}
+
+// cut shortens a text for a person.
+func cut(text string, most int) string {
+	if letters := []rune(text); len(letters) > most {
+		return string(letters[:most]) + " ..."
+	}
+	return text
+}
+
+var page = template.Must(template.New("digest").Funcs(template.FuncMap{
+	"percent": func(v float64) string { return fmt.Sprintf("%.1f%%", 100*v) },
+	"one":     func(v float64) string { return fmt.Sprintf("%.1f", v) },
+	"seconds": func(ms float64) string { return fmt.Sprintf("%.1f", ms/1000) },
+	"cut":     func(s string) string { return cut(s, 2000) },
+}).Parse(`<!doctype html>
+<html lang="en"><head><meta charset="utf-8"><title>Statements by cost</title>
+<style>body{font:15px/1.5 sans-serif;margin:2em;max-width:80em}table{border-collapse:collapse}th,td{padding:.3em .7em;text-align:right;
+border-bottom:1px solid #ccc;vertical-align:top}td.t,th.t{text-align:left}code{white-space:pre-wrap;word-break:break-word}.f{color:#a33}</style></head>
+<body><h1>Statements by cost</h1>
+<p>{{.Statements}} statements of {{.Shapes}} shapes, {{seconds .TotalMS}} s in all.{{if .Learned}} {{.Learned}} of them by what the
+snapshot says they usually take.{{end}}{{if .LeftOut}} {{.LeftOut}} further shapes, {{percent .LeftShare}}, are left out.{{end}}</p>
+<table><tr><th>share</th><th>count</th><th>mean ms</th><th>p50</th><th>p99</th><th>worst</th><th>bad plans</th><th>rows read</th><th>groups</th><th class="t">statement</th></tr>
+{{range .Rows}}<tr><td>{{percent .Share}}</td><td>{{.Count}}</td><td>{{one .MeanMS}}</td><td>{{one .P50MS}}</td><td>{{one .P99MS}}</td><td>{{one .WorstMS}}</td>
+<td>{{percent .Bad}}</td><td>{{one .Examined}}</td><td>{{.Groups}}</td><td class="t"><code>{{if .Normal}}{{cut .Normal}}{{else}}shape {{.Shape}}, text not recorded{{end}}</code>
+{{if .Full}}<br><span class="f">reads the whole of {{.Full}}</span>{{end}}</td></tr>
+{{end}}</table></body></html>
+`))
+
+// Page writes a digest as one page.
+func (d *Digest) Page(out io.Writer) error { return page.Execute(out, d) }
--- a/internal/load/importer/read.go
+++ b/internal/importer/read.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"magpiebank/internal/mysql"
+	"magpiebank/internal/sqltext"
 	"magpiebank/internal/trace"
 )
 
@@ -101,7 +102,7 @@
 			}
 			text = body
 		}
-		r.Shape = mysql.Shape(text)
+		r.Shape = sqltext.Shape(text)
 		if r.Group == 0 {
 			r.Group = mysql.Tables(text)
 		}
@@ -292,6 +293,7 @@
 	s := lines(r)
 	var at time.Time
 	var took time.Duration
+	var examined int64
 	var statement strings.Builder
 	from, inHead := 0, false
 	finish := func() {
@@ -305,7 +307,9 @@
 			begun = begun.Add(-took)
 		}
 		in.add(from, begun, "", text, 0, 0, false)
-		took = 0
+		last := &in.raws[len(in.raws)-1]
+		last.Took, last.Examined = took, examined
+		took, examined = 0, 0
 	}
 	for n := 1; s.Scan(); n++ {
 		line := s.Text()
@@ -330,6 +334,11 @@
 					took = time.Duration(v * float64(time.Second))
 				}
 			}
+			if _, rest, ok := strings.Cut(line, "Rows_examined: "); ok {
+				if v, err := strconv.ParseInt(strings.Fields(rest + " x")[0], 10, 64); err == nil && v >= 0 {
+					examined = v
+				}
+			}
 		case inHead && strings.HasPrefix(line, "SET timestamp="):
 			v, err := strconv.ParseInt(strings.TrimRight(strings.TrimPrefix(line, "SET timestamp="), ";"), 10, 64)
 			if err == nil && at.IsZero() {
--- a/internal/load/importer/repair.go
+++ b/internal/importer/repair.go
@@ -15,6 +15,9 @@
 	Stamp  time.Time // zero: it had none that could be read
 	Line   int       // where it stood
 	Record trace.Record
+
+	Took     time.Duration // as a slow log tells; 0: not told
+	Examined int64         // rows, likewise
 }
 
 // Clock is how stamps are mended.
--- a/internal/load/arrival/schedule.go
+++ b/internal/load/arrival/schedule.go
@@ -11,6 +11,7 @@
 // Lane is one kind of task in the load.
 type Lane struct {
 	Name       string
+	As         string        // the lane that gateways are told; empty: its name
 	Share      float64       // of all tasks, against the other lanes' shares
 	Statements []string      // templates, drawn evenly: {group} and {literal} are filled in
 	Groups     int           // of tables, from 1 on; their draws follow Zipf's law
@@ -22,6 +23,14 @@
 	Repeat     bool          // a second run does no harm, so that clients may try again after any end
 }
 
+// Told is the name of the lane that gateways are told.
+func (l *Lane) Told() string {
+	if l.As != "" {
+		return l.As
+	}
+	return l.Name
+}
+
 // Task is one arrival. N counts all arrivals of a schedule from 0, whoever sends them.
 type Task struct {
 	N        uint64
--- a/internal/load/drive/conn.go
+++ b/internal/load/drive/conn.go
@@ -26,7 +26,7 @@
 
 // query writes a try's packet.
 func query(dst []byte, lane *arrival.Lane, a *client.Asked) []byte {
-	return mysql.AppendQuery(dst, lane.Name, a.ID, a.WaitMS, a.Retry, func(dst []byte) []byte {
+	return mysql.AppendQuery(dst, lane.Told(), a.ID, a.WaitMS, a.Retry, func(dst []byte) []byte {
 		return lane.Statement(dst, a.Task)
 	})
 }
--- a/internal/load/experiment/read.go
+++ b/internal/load/experiment/read.go
@@ -173,7 +173,7 @@
 }
 
 func (e *Experiment) lane(l *form.Object, lanes *[]site.Lane) {
-	a := arrival.Lane{Name: l.Needed("name"), Share: l.Number("share", 1, 0, 1e6), Statements: l.Texts("statements"),
+	a := arrival.Lane{Name: l.Needed("name"), As: l.Text("as", ""), Share: l.Number("share", 1, 0, 1e6), Statements: l.Texts("statements"),
 		Groups: l.Count("groups", 1, 1, 1<<20), Zipf: l.Number("zipf", 0, 0, 10), Literals: l.Count("literals", 0, 0, 1<<30),
 		Quoted: l.Duration("quoted", time.Second), Patience: l.Duration("patience", 5*time.Second),
 		MarkRetry: l.Flag("mark_retry", true)}
@@ -184,7 +184,7 @@
 	if len(a.Statements) == 0 {
 		a.Statements = []string{"SELECT dia, count(*), max(nota) FROM actas_{group}.mesas WHERE clave = '{literal}' GROUP BY dia"}
 	}
-	w := standin.Work{Lane: a.Name, Rows: l.Count("rows", 3, 1, 2000), MemoryMB: float64(l.Size("memory", 64<<20)) / (1 << 20),
+	w := standin.Work{Lane: a.Told(), Rows: l.Count("rows", 3, 1, 2000), MemoryMB: float64(l.Size("memory", 64<<20)) / (1 << 20),
 		Fails: l.Share("fails", 0)}
 	if v := l.Object("service"); v != nil {
 		w.Service = spread(v)
@@ -201,7 +201,11 @@
 	}
 	e.Works = append(e.Works, w)
 	e.Lanes = append(e.Lanes, a)
-	*lanes = append(*lanes, s)
+	if a.As == "" {
+		*lanes = append(*lanes, s)
+	} else if !slices.ContainsFunc(*lanes, func(o site.Lane) bool { return o.Name == a.As }) {
+		l.Fail("as", "the name of a lane before it")
+	}
 }
 
 func spread(v *form.Object) standin.Spread {
--- a/internal/load/experiment/run.go
+++ b/internal/load/experiment/run.go
@@ -38,6 +38,7 @@
 	Verdicts  []Verdict           `json:"verdicts"`
 	Truth     []Comparison        `json:"truth,omitempty"`
 	Gateways  []GatewayFigures    `json:"gateways,omitempty"`
+	Swapped   int                 `json:"swapped,omitempty"` // tasks that began while their engine was short of memory
 	Process   Process             `json:"process"`
 	bySecond  []int64             // the schedule's
 	truths    map[int][]truthTask // by lane
@@ -150,6 +151,9 @@
 		for _, g := range s.Gateways {
 			r.Gateways = append(r.Gateways, GatewayFigures{g.Name, g.Peak()})
 		}
+		for _, en := range s.Engines {
+			r.Swapped += en.Swapped()
+		}
 	}
 	r.verdicts(e, log)
 	return r, nil
--- a/internal/mysql/mysql_test.go
+++ b/internal/mysql/mysql_test.go
@@ -244,17 +244,3 @@
 	// false 0 false 0 malformed answer
 	// false 0 false 0 malformed answer
 }
-
-// Statements of one shape differ in literals, spacing, comments and case only.
-func TestShape(t *testing.T) {
-	same := []string{"SELECT a FROM t_1.m WHERE x = 'a''b' AND y = 5", "select  a /* c */ from T_1.m where x = \"z\" and Y=77 -- end"}
-	other := []string{"SELECT a FROM t_1.m WHERE x = 5 OR y = 5", "SELECT a FROM t_2.m WHERE x = 'a' AND y = 5", "SELECT a FROM t_1.m WHERE x = 'a' AND y < 5", ""}
-	if Shape([]byte(same[0])) != Shape([]byte(same[1])) {
-		t.Error("one shape has two numbers")
-	}
-	for _, s := range other {
-		if Shape([]byte(s)) == Shape([]byte(same[0])) {
-			t.Errorf("%q has the number of another shape", s)
-		}
-	}
-}
--- a/internal/mysql/packet.go
+++ b/internal/mysql/packet.go
@@ -115,6 +115,7 @@
 const (
 	ErrNoRoom         = 1040 // ER_CON_COUNT_ERROR
 	ErrNacked         = 1203 // ER_TOO_MANY_USER_CONNECTIONS
+	ErrBarred         = 1104 // ER_TOO_BIG_SELECT
 	ErrWrittenOff     = 1317 // ER_QUERY_INTERRUPTED
 	ErrAccess         = 1045
 	ErrNoDatabase     = 1049
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -7,7 +7,7 @@
 	"strings"
 	"unicode/utf8"
 
-	"github.com/cespare/xxhash/v2"
+	"magpiebank/internal/sqltext"
 )
 
 // The fields that a statement's leading comment can lack or get wrong.
@@ -90,10 +90,13 @@
 
 // single tells whether a text is one statement; a semicolon may end it.
 func single(sql []byte) bool {
-	s := scanner{text: sql}
-	for kind, _ := s.next(); kind != end; kind, _ = s.next() {
-		if kind == ';' {
-			return s.peek() == end
+	if bytes.IndexByte(sql, ';') < 0 { // as good as all
+		return true
+	}
+	l := sqltext.Lexer{Text: sql}
+	for t := l.Next(); t.Kind != sqltext.End; t = l.Next() {
+		if t.Sign == ';' {
+			return l.Next().Kind == sqltext.End
 		}
 	}
 	return true
@@ -116,24 +119,25 @@
 // name of the schema before a table's name. Strings, comments and the schema staging do not count, nor do
 // columns qualified by a table's other name.
 func Tables(sql []byte) int {
-	s := scanner{text: sql}
+	l := sqltext.Lexer{Text: sql}
 	place := false // a table's name may stand here
 	from := false  // in a list of tables, where a comma brings the next
-	for kind, name := s.next(); kind != end; kind, name = s.next() {
+	for t := l.Next(); t.Kind != sqltext.End; t = l.Next() {
 		switch {
-		case kind == ',' && from:
+		case t.Sign == ',' && from:
 			place = true
-		case kind == word || kind == quoted:
-			if s.peek() == '.' {
-				s.next()
-				s.next()
+		case t.Kind == sqltext.Word || t.Kind == sqltext.Quoted:
+			name := l.Bytes(t)
+			if l.Dotted() {
+				l.Next()
+				l.Next()
 				if group, ok := schemaGroup(name); ok && place {
 					return group
 				}
 				place = false
 				continue
 			}
-			if kind == quoted {
+			if t.Kind == sqltext.Quoted {
 				continue
 			}
 			switch strings.ToUpper(string(name)) {
@@ -158,116 +162,6 @@
 	return int(n), err == nil
 }
 
-// The kinds of tokens; the others are the characters themselves.
-const (
-	end    = rune(-1)
-	word   = 'w'
-	quoted = '`'
-)
-
-// scanner splits a statement into words, names in back quotes and other characters, without strings, comments
-// and white space.
-type scanner struct {
-	text []byte
-	at   int
-}
-
-// peek is the next token's kind.
-func (s *scanner) peek() rune {
-	ahead := *s
-	kind, _ := ahead.next()
-	return kind
-}
-
-func (s *scanner) next() (kind rune, text []byte) {
-	for s.at < len(s.text) {
-		rest := s.text[s.at:]
-		switch c := rest[0]; {
-		case c == ' ' || c == '\t' || c == '\r' || c == '\n':
-			s.at++
-		case c == '#', bytes.HasPrefix(rest, []byte("--")) && (len(rest) == 2 || rest[2] <= ' '):
-			s.past(rest, "\n")
-		case bytes.HasPrefix(rest, []byte("/*")):
-			s.at += 2
-			s.past(rest[2:], "*/")
-		case c == '\'' || c == '"':
-			s.at++
-			for s.at < len(s.text) && s.text[s.at] != c { // a doubled quote is two strings side by side
-				if s.text[s.at] == '\\' {
-					s.at++
-				}
-				s.at++
-			}
-			s.at++
-		case c == '`':
-			from := s.at + 1
-			s.past(rest[1:], "`")
-			s.at++
-			return quoted, s.text[from:max(from, min(s.at, len(s.text))-1)]
-		case letter(c):
-			from := s.at
-			for s.at < len(s.text) && letter(s.text[s.at]) {
-				s.at++
-			}
-			return word, s.text[from:s.at]
-		default:
-			s.at++
-			return rune(c), nil
-		}
-	}
-	return end, nil
-}
-
-// past moves behind the next place where a mark stands in rest, or to the end.
-func (s *scanner) past(rest []byte, mark string) {
-	if i := bytes.Index(rest, []byte(mark)); i >= 0 {
-		s.at += i + len(mark)
-	} else {
-		s.at = len(s.text)
-	}
-}
-
-func letter(c byte) bool {
-	return c == '_' || c == '$' || c >= 0x80 || '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
-}
-
-// Shape is the same number for statements that differ in literals, spacing, comments and the case of words only.
-func Shape(sql []byte) uint64 {
-	d := xxhash.New()
-	s := scanner{text: sql}
-	var lower [64]byte
-	for before := 0; ; before = s.at {
-		kind, name := s.next()
-		if bytes.IndexAny(s.text[before:min(s.at, len(s.text))], "'\"") >= 0 {
-			d.WriteString("? ") // strings between tokens, however many
-		}
-		switch {
-		case kind == end:
-			return d.Sum64()
-		case kind == word && '0' <= name[0] && name[0] <= '9':
-			d.WriteString("? ")
-		case kind == word:
-			for len(name) > 0 {
-				n := copy(lower[:], name)
-				for i := range lower[:n] {
-					if 'A' <= lower[i] && lower[i] <= 'Z' {
-						lower[i] += 'a' - 'A'
-					}
-				}
-				d.Write(lower[:n])
-				name = name[n:]
-			}
-			d.WriteString(" ")
-		case kind == quoted:
-			d.WriteString("`")
-			d.Write(name)
-			d.WriteString(" ")
-		default:
-			d.Write([]byte{byte(kind), ' '})
-		}
-	}
-}
-
 // Retried tells whether the fields of a query mark it as a client's own further try.
 func Retried(sql []byte) bool {
 	fields, _, ok := bytes.Cut(sql, []byte("*/"))
--- /dev/null
+++ b/internal/operator/desk.go
@@ -0,0 +1,196 @@
+package operator
+
+import (
+	"fmt"
+	"log/slog"
+	"reflect"
+	"sync/atomic"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/deployment"
+	"magpiebank/internal/route"
+	"magpiebank/internal/router"
+	"magpiebank/internal/statement"
+)
+
+// Desk joins the book of statements and the operator's classes to a gateway.
+type Desk struct {
+	file  *Statements
+	book  *statement.Book
+	route *route.Desk
+	lanes []string
+	loads []bool // lanes whose tasks change tables
+	log   *slog.Logger
+	keeps string // the snapshot's file; empty: nothing is kept
+
+	plan   atomic.Pointer[route.Plan] // that sessions class by
+	next   atomic.Pointer[Statements] // a file that was read and is not yet gone by
+	saidAt time.Time
+	agedAt time.Time
+	told   told
+}
+
+// told are the book's counts at the last line.
+type told struct{ seen, parsed, answers, wrong int64 }
+
+// NewDesk makes a desk for a gateway's deployment. With a snapshot's file that can't be used it begins without, and says so.
+func NewDesk(s *Statements, start *deployment.Start, log *slog.Logger) (*Desk, error) {
+	r, err := route.New(0, &s.Plan, start.Site.Cores, start.Network.Zones, start.Network.Kinds)
+	if err != nil {
+		return nil, err
+	}
+	d := &Desk{file: s, book: s.Book(len(start.Network.Lanes)), route: r, lanes: start.Network.Lanes, log: log,
+		keeps: s.Snapshot, saidAt: time.Now(), agedAt: time.Now()}
+	for _, l := range start.Site.Lanes {
+		d.loads = append(d.loads, l.Load)
+	}
+	d.plan.Store(&s.Plan)
+	if d.keeps != "" {
+		d.recover(d.keeps)
+	}
+	return d, nil
+}
+
+// Renew has another file gone by; it takes effect within the timer's pace, whole or not at all, and the log says which.
+func (d *Desk) Renew(s *Statements) {
+	if s == nil {
+		s = &Statements{}
+	}
+	d.next.Store(s)
+}
+
+func (d *Desk) renew(now admission.Time, s *Statements) {
+	if s.LogEvery == 0 { // the file has no statements any more: they are read as long as the gateway runs, and nothing limits them
+		s.Memory, s.LogEvery, s.Snapshot = d.file.Memory, d.file.LogEvery, d.keeps
+	}
+	if err := d.route.Renew(now, &s.Plan); err != nil {
+		d.log.Warn("operator's file", "code", "kept", "error", err)
+		return
+	}
+	for field, same := range map[string]bool{"memory": s.Memory == d.file.Memory, "snapshot": s.Snapshot == d.keeps} {
+		if !same {
+			d.log.Warn("operator's file", "code", "needs_restart", "field", "statements."+field)
+		}
+	}
+	if !reflect.DeepEqual(s.Tables, d.file.Tables) {
+		d.book.Catalogue(s.Known())
+	}
+	d.file = s
+	d.plan.Store(&s.Plan)
+	d.log.Info("operator's file", "code", "renewed", "pools", len(s.Plan.Pools), "classes", len(s.Plan.Classes))
+}
+
+// Open, Pool and In are what the decisions ask.
+func (d *Desk) Open(now admission.Time, class int, threads float64) bool {
+	return d.route.Open(now, class, threads)
+}
+
+// Pool is the number of a class's pool.
+func (d *Desk) Pool(class int) int { return d.route.Pool(class) }
+
+// In tells whether an engine belongs to a pool.
+func (d *Desk) In(pool int, l *admission.Listing) bool { return d.route.In(pool, l) }
+
+// Listed takes in a delivery of the engine list.
+func (d *Desk) Listed(now admission.Time, form admission.Form, list []admission.Listing) {
+	d.route.Listed(now, form, list)
+}
+
+// Due is the timer.
+func (d *Desk) Due(now admission.Time) {
+	if s := d.next.Swap(nil); s != nil {
+		d.renew(now, s)
+	}
+	d.route.Due(now)
+	wall := time.Now()
+	if hours := int64(wall.Sub(d.agedAt) / time.Hour); hours > 0 {
+		d.agedAt = d.agedAt.Add(time.Duration(hours) * time.Hour)
+		d.book.Age(hours)
+	}
+	if wall.Sub(d.saidAt) >= d.file.LogEvery {
+		d.saidAt = wall
+		d.say()
+	}
+}
+
+// say writes what was counted since the last line.
+func (d *Desk) say() {
+	b := d.book
+	now := told{b.Seen.Load(), b.Parsed.Load(), b.Answers.Load(), b.Wrong.Load()}
+	last := d.told
+	d.told = now
+	d.log.Info("statements", "seen", now.seen-last.seen, "new_shapes", now.parsed-last.parsed, "answers", now.answers-last.answers,
+		"wrong", now.wrong-last.wrong, "unread", b.Unparsed.Load(), "moved", b.Moved.Load(), "split", b.Split.Load())
+	for _, c := range d.route.States() {
+		d.log.Info("class", "name", c.Name, "retired", c.Retired, "limit", fmt.Sprintf("%.1f", c.Limit), "running", c.Running,
+			"waiting", c.Waiting, "taken", c.Taken, "crowded", c.Crowded, "refused", c.Refused, "delivered", c.Delivered)
+	}
+}
+
+// Arrived rules on the task that a reader has read.
+func (d *Desk) Arrived(r router.Reader) (f admission.Foreseen, crowded bool, refuse string) {
+	k := r.(*Reader)
+	if plan := d.plan.Load(); plan != k.plan { // another file has come in between
+		k.plan, k.entry = plan, plan.Find(&k.subject)
+	}
+	number, ruling, text := d.route.Arrived(k.entry)
+	switch ruling {
+	case route.Refused:
+		return f, false, "class " + k.plan.Classes[k.entry-1].Name + ": " + text
+	case route.Crowded:
+		return f, true, ""
+	}
+	if e := &k.subject.Estimate; e.Known {
+		f = admission.Foreseen{Work: tenths(e.Work), Upper: tenths(e.Upper), Memory: e.Memory}
+	}
+	f.Class = number
+	return f, false, ""
+}
+
+// Sent takes in a hand-off.
+func (d *Desk) Sent(f admission.Foreseen, threads float64) float64 {
+	return d.route.Sent(f.Class, threads, ms(f.Work))
+}
+
+// Back takes in a hand-off's end.
+func (d *Desk) Back(class int, threads, charged float64, work admission.Time, waits bool) {
+	d.route.Back(class, threads, charged, ms(work), waits)
+}
+
+// Left takes in that a waiting task got its final answer.
+func (d *Desk) Left(class int) { d.route.Left(class) }
+
+// Reader is for one more session.
+func (d *Desk) Reader() router.Reader { return &Reader{d: d} }
+
+// Reader reads the statements of one session.
+type Reader struct {
+	d       *Desk
+	sight   statement.Sight
+	subject route.Subject
+	plan    *route.Plan
+	entry   int // of the plan's classes, from 1; 0: none
+}
+
+// Read finds a statement's shape, cost and class.
+func (r *Reader) Read(sql []byte, lane, tables int) {
+	r.sight = r.d.book.Look(sql, tables, lane)
+	r.subject = route.Subject{Lane: r.d.lanes[lane], Features: r.sight.Features(), Estimate: r.d.book.Estimate(&r.sight)}
+	r.plan = r.d.plan.Load()
+	r.entry = r.plan.Find(&r.subject)
+}
+
+// Answered takes in what it has cost.
+func (r *Reader) Answered(work admission.Time, memory float64) {
+	r.d.book.Answered(&r.sight, ms(work), memory)
+	if r.d.loads[r.sight.Lane] {
+		r.d.book.Loaded(r.sight.Group)
+	}
+}
+
+func ms(t admission.Time) float64 { return float64(t) / float64(admission.Millisecond) }
+
+func tenths(ms float64) admission.Time {
+	return admission.Time(ms*float64(admission.Millisecond) + 0.5)
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,48 +1,17 @@
-// Package operator is what a gateway does besides what the platform asks for, as the operator's own file says; all of it is
-// off unless it is named. The file is Jsonnet with units. Its evaluator would stand in the gateway's memory for good, so a
-// program beside it reads the file (package source) and hands over what it says.
+// Package operator is what a gateway does besides what the platform asks for, as the operator's own file says: statements are
+// read and costed, put into classes, and held to pools and limits. All of it is off unless it is asked for, and stands in a
+// program of its own (cmd/magpiebank-operator), so that a gateway without it carries nothing of it. Package source reads the
+// file, which is Jsonnet with units.
 package operator
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"os"
-	"os/exec"
 	"path"
-	"path/filepath"
-	"strings"
 	"time"
 
+	"magpiebank/internal/route"
 	"magpiebank/internal/statement"
 )
 
-// Program is the one that reads operators' files.
-const Program = "magpiebank-operator"
-
-// Load has a file read by the program that stands beside this one.
-func Load(file string) (*File, error) {
-	self, err := os.Executable()
-	if err != nil {
-		return nil, err
-	}
-	var out, errs bytes.Buffer
-	cmd := exec.Command(filepath.Join(filepath.Dir(self), Program), file)
-	cmd.Stdout, cmd.Stderr = &out, &errs
-	if err := cmd.Run(); err != nil {
-		if text := strings.TrimSpace(errs.String()); text != "" {
-			return nil, errors.New(text)
-		}
-		return nil, fmt.Errorf("operator's file: %w", err)
-	}
-	var f File
-	if err := json.Unmarshal(out.Bytes(), &f); err != nil {
-		return nil, fmt.Errorf("operator's file: %s of another version: %w", Program, err)
-	}
-	return &f, nil
-}
-
 // File is what the operator asks for.
 type File struct {
 	Statements *Statements // nil: statements are not looked at
@@ -53,6 +22,8 @@
 	Memory   int64 // bytes that what is learned may take
 	Tables   []Table
 	LogEvery time.Duration
+	Snapshot string // file that what is learned is kept in; empty: it is lost at the end
+	Plan     route.Plan
 }
 
 // Table is what is known of tables before any answer.
@@ -64,7 +35,15 @@
 
 // Book is an empty book of statements for so many lanes.
 func (s *Statements) Book(lanes int) *statement.Book {
-	return statement.NewBook(s.Memory, lanes, s.lookUp)
+	return statement.NewBook(s.Memory, lanes, s.Known())
+}
+
+// Known is what the file says of tables; nil: nothing.
+func (s *Statements) Known() statement.Tables {
+	if len(s.Tables) == 0 {
+		return nil
+	}
+	return s.lookUp
 }
 
 // lookUp finds the first entry that a table fits.
--- a/internal/operator/source/source.go
+++ b/internal/operator/source/source.go
@@ -2,11 +2,16 @@
 package source
 
 import (
+	"fmt"
 	"path"
+	"slices"
+	"strings"
 	"time"
 
 	"magpiebank/internal/form"
 	"magpiebank/internal/operator"
+	"magpiebank/internal/route"
+	"magpiebank/internal/statement"
 )
 
 // The figures where the file names none: a gateway of 48 MB keeps to 8, so what is learned may have two more; a line a
@@ -44,15 +49,91 @@
 		if f.Statements.LogEvery < time.Second {
 			s.Fail("log_every", `a time from "1s" on`)
 		}
+		f.Statements.Snapshot = s.Text("snapshot", "")
 		for _, t := range s.Objects("tables") {
-			table := operator.Table{Schema: t.Text("schema", "*"), Name: t.Needed("name"), Rows: t.Number("rows", 0, 0, 1e15), Keys: t.Texts("keys")}
-			for field, pattern := range map[string]string{"schema": table.Schema, "name": table.Name} {
-				if _, err := path.Match(pattern, ""); err != nil {
-					t.Fail(field, "a name, with * for any letters")
-				}
-			}
-			f.Statements.Tables = append(f.Statements.Tables, table)
+			p := pattern(t)
+			f.Statements.Tables = append(f.Statements.Tables, operator.Table{Schema: p.Schema, Name: p.Name,
+				Rows: t.Number("rows", 0, 0, 1e15), Keys: t.Texts("keys")})
 		}
+		f.Statements.Plan = plan(s)
 	}
 	return f, o.Err()
 }
+
+// pattern reads a pattern of tables' names.
+func pattern(t *form.Object) route.Table {
+	p := route.Table{Schema: t.Text("schema", "*"), Name: t.Needed("name")}
+	for _, f := range []struct{ field, text string }{{"schema", p.Schema}, {"name", p.Name}} {
+		if _, err := path.Match(f.text, ""); err != nil {
+			t.Fail(f.field, "a name, with * for any letters")
+		}
+	}
+	return p
+}
+
+// plan reads pools and classes. A class that follows one for all statements would never be reached.
+func plan(s *form.Object) (p route.Plan) {
+	pools, classes := map[string]bool{"": true}, map[string]bool{}
+	for _, o := range s.Objects("pools") {
+		pool := route.Pool{Name: o.Needed("name"), Zones: o.Texts("zones"), Kinds: o.Texts("kinds")}
+		if pools[pool.Name] && pool.Name != "" {
+			o.Fail("name", "a name that no other pool has")
+		}
+		pools[pool.Name] = true
+		p.Pools = append(p.Pools, pool)
+	}
+	all := ""
+	for _, o := range s.Objects("classes") {
+		c := route.Class{Name: o.Needed("name"), Pool: o.Text("pool", ""), Threads: o.Number("threads", 0, 0.1, 1e6),
+			Waiting: o.Count("waiting", 0, 1, 1e6), Work: float64(o.Duration("work_per_second", 0)) / 1e6, Refuse: o.Text("refuse", "")}
+		if o.Has("work_per_second") && c.Work == 0 {
+			o.Fail("work_per_second", "a time of work above 0, as in \"4s\"")
+		}
+		if o.Has("refuse") && c.Refuse == "" {
+			o.Fail("refuse", "the text of the error that clients get")
+		}
+		if classes[c.Name] && c.Name != "" {
+			o.Fail("name", "a name that no other class has")
+		}
+		classes[c.Name] = true
+		if !pools[c.Pool] {
+			o.Fail("pool", "the name of one of the pools")
+		}
+		if all != "" {
+			o.Fail("name", "no further class, as "+all+" before it takes all statements")
+		}
+		if w := o.Object("when"); w != nil {
+			c.When = fits(w)
+		} else {
+			all = c.Name
+		}
+		p.Classes = append(p.Classes, c)
+	}
+	if len(p.Classes) > route.MostClasses {
+		s.Fail("classes", fmt.Sprintf("at most %d", route.MostClasses))
+	}
+	return p
+}
+
+func fits(w *form.Object) (f route.Fits) {
+	flag := func(name string) *bool {
+		if !w.Has(name) {
+			return nil
+		}
+		v := w.Flag(name, false)
+		return &v
+	}
+	ms := func(name string) float64 { return float64(w.Duration(name, 0)) / 1e6 }
+	f = route.Fits{Lanes: w.Texts("lanes"), Verbs: w.Texts("verbs"), Full: flag("full"), Limited: flag("limited"), Doubt: flag("doubt"),
+		WorkFrom: ms("work_from"), UpperFrom: ms("upper_from"), MemoryFrom: float64(w.Size("memory_from", 0)) / (1 << 20),
+		BadFrom: w.Share("bad_from", 0), JoinsFrom: w.Count("joins_from", 0, 0, 1e6), LooseFrom: w.Count("loose_from", 0, 0, 1e6)}
+	for _, v := range f.Verbs {
+		if !slices.Contains(statement.Verbs(), v) {
+			w.Fail("verbs", "some of "+strings.Join(statement.Verbs(), ", "))
+		}
+	}
+	for _, t := range w.Objects("tables") {
+		f.Tables = append(f.Tables, pattern(t))
+	}
+	return f
+}
--- a/internal/operator/source/source_test.go
+++ b/internal/operator/source/source_test.go
@@ -8,6 +8,8 @@
 		"{ statments: {} }",
 		"{ statements: { memory: 4, log_every: '1ms',\n tables: [{ rows: -5 },\n { name: '[', keys: 'id' }] } }",
 		"{ statements: { memory: '1kB' } }",
+		"{ statements: {\n pools: [{ name: 'a' }, { name: 'a' }],\n classes: [{ name: 'x', pool: 'b', threads: 0, waiting: 0 },\n" +
+			" { name: 'x', refuse: '', work_per_second: '0s',\n when: { verbs: ['selec'], full: 1, work_from: 5, tables: [{}] } }] } }",
 		"{}",
 		"{ statements: { tables: [{ schema: 'actas_*', name: 'mesas', rows: 2e6, keys: ['clave'] }] } }",
 	} {
@@ -21,7 +23,8 @@
 			b := f.Statements.Book(1)
 			for _, sql := range []string{"SELECT a FROM actas_3.mesas WHERE clave = 1", "SELECT a FROM actas_3.mesas WHERE nota = 1",
 				"SELECT a FROM actas_3.otra WHERE nota = 1"} {
-				e := b.Estimate(b.Look([]byte(sql), 3, 0))
+				look := b.Look([]byte(sql), 3, 0)
+				e := b.Estimate(&look)
 				fmt.Printf("%-45s full %q\n", sql, e.Full)
 			}
 		}
@@ -32,9 +35,21 @@
 	// operator.jsonnet:1: statements.log_every: expected a time from "1s" on, found "1ms"
 	// operator.jsonnet:2: statements.tables[0].name: expected a text, found nothing
 	// operator.jsonnet:2: statements.tables[0].rows: expected a number from 0 to 1e+15, found -5
-	// operator.jsonnet:3: statements.tables[1].keys: expected a list, found "id"
 	// operator.jsonnet:3: statements.tables[1].name: expected a name, with * for any letters, found "["
+	// operator.jsonnet:3: statements.tables[1].keys: expected a list, found "id"
 	// operator.jsonnet:1: statements.memory: expected a size from "64kB" to "1GB", found "1kB"
+	// operator.jsonnet:2: statements.pools[1].name: expected a name that no other pool has, found "a"
+	// operator.jsonnet:3: statements.classes[0].threads: expected a number from 0.1 to 1e+06, found 0
+	// operator.jsonnet:3: statements.classes[0].waiting: expected a number from 1 to 1e+06, found 0
+	// operator.jsonnet:3: statements.classes[0].pool: expected the name of one of the pools, found "b"
+	// operator.jsonnet:4: statements.classes[1].work_per_second: expected a time of work above 0, as in "4s", found "0s"
+	// operator.jsonnet:4: statements.classes[1].refuse: expected the text of the error that clients get, found ""
+	// operator.jsonnet:4: statements.classes[1].name: expected a name that no other class has, found "x"
+	// operator.jsonnet:4: statements.classes[1].name: expected no further class, as x before it takes all statements, found "x"
+	// operator.jsonnet:5: statements.classes[1].when.full: expected true or false, found 1
+	// operator.jsonnet:5: statements.classes[1].when.work_from: expected a time with its unit, as in "250ms" or "1m30s", found 5
+	// operator.jsonnet:5: statements.classes[1].when.verbs: expected some of other, select, insert, insert-select, load, update, delete, found ["selec"]
+	// operator.jsonnet:5: statements.classes[1].when.tables[0].name: expected a text, found nothing
 	// false
 	// true
 	// SELECT a FROM actas_3.mesas WHERE clave = 1   full ""
--- /dev/null
+++ b/internal/route/desk.go
@@ -0,0 +1,358 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+
+	"magpiebank/internal/admission"
+)
+
+// Desk keeps what runs and waits of each class, and the limits in force. It is the decisions' Gate. One goroutine owns it.
+type Desk struct {
+	plan    *Plan
+	cores   []float64 // of an engine, by machine kind
+	zones   []string  // the site's names, which listings give by number
+	kinds   []string
+	classes []class // by number; 0 stands for tasks of none
+	pools   []pool  // by number; 0 is all engines
+	numbers []int   // of the plan's classes
+	engines []admission.Listing
+}
+
+type class struct {
+	Class
+	pool      int
+	inUse     bool    // the number is taken
+	retired   bool    // the plan has no such class any more; what it has in hand ends under it
+	running   float64 // threads of its hand-offs without an outcome
+	out       int     // and how many they are
+	waiting   int     // tasks in hand with no hand-off out
+	limit     float64 // threads that may run now
+	steppedAt admission.Time
+	credit    float64 // ms of work that may go out now; below 0: it owes some
+	filledAt  admission.Time
+	cost      float64 // ms, mean of its answers: what a task counts of which no work is foreseen
+	counts    Counts
+}
+
+type pool struct {
+	Pool
+	inUse        bool
+	zones, kinds []int
+	live         float64 // cores of engines that take new tasks
+	most         float64 // the highest that live has been since it was told of: what limits are meant for
+}
+
+// Counts are of one class since the start.
+type Counts struct{ Taken, Crowded, Refused, Delivered int64 }
+
+// Ruling is what becomes of a task that arrives.
+type Ruling uint8
+
+// The rulings.
+const (
+	Taken   Ruling = iota
+	Crowded        // too many of its class wait; it may come again
+	Refused        // never sent
+)
+
+// New makes a desk that knows no engine yet. zones and kinds are the site's names; an error names a pool's field that
+// has none of them.
+func New(now admission.Time, plan *Plan, cores []float64, zones, kinds []string) (*Desk, error) {
+	d := &Desk{cores: cores, zones: zones, kinds: kinds, plan: &Plan{}, classes: make([]class, 1), pools: []pool{{inUse: true}}}
+	return d, d.Renew(now, plan)
+}
+
+// Renew goes by another plan, whole or, with an error, not at all. A class or pool of the same name stays the same one:
+// what runs counts under it, and a limit below that lets nothing more out until enough has ended. One that the plan
+// lacks stands until the last of its tasks has ended.
+func (d *Desk) Renew(now admission.Time, plan *Plan) error {
+	places := make([]pool, len(plan.Pools))
+	for i := range plan.Pools {
+		p := &places[i]
+		p.Pool = plan.Pools[i]
+		for _, f := range []struct {
+			field       string
+			names, site []string
+			to          *[]int
+		}{{"zones", p.Zones, d.zones, &p.zones}, {"kinds", p.Kinds, d.kinds, &p.kinds}} {
+			for _, name := range f.names {
+				n := slices.Index(f.site, name)
+				if n < 0 {
+					return fmt.Errorf("statements.pools[%d].%s: expected some of %q, which this site has, found %q", i, f.field, f.site, name)
+				}
+				*f.to = append(*f.to, n)
+			}
+		}
+	}
+	if err := plan.check(); err != nil {
+		return err
+	}
+	d.plan, d.numbers = plan, nil
+	numbers := map[string]int{"": 0}
+	for i := range places {
+		n := slices.IndexFunc(d.pools, func(p pool) bool { return p.inUse && p.Name == places[i].Name })
+		if n < 0 {
+			n = free(&d.pools, func(p *pool) bool { return !p.inUse })
+		}
+		old := &d.pools[n]
+		places[i].inUse = true
+		if old.inUse && slices.Equal(old.zones, places[i].zones) && slices.Equal(old.kinds, places[i].kinds) {
+			places[i].most = old.most
+		}
+		*old = places[i]
+		numbers[old.Name] = n
+	}
+	d.count()
+	for n := range d.classes {
+		d.classes[n].retired = true
+	}
+	for _, c := range plan.Classes {
+		n := slices.IndexFunc(d.classes, func(o class) bool { return o.inUse && o.Name == c.Name })
+		if n < 0 {
+			n = free(&d.classes, func(c *class) bool { return !c.inUse })
+			d.classes[n] = class{inUse: true, Class: c, pool: numbers[c.Pool], credit: c.Work, filledAt: now, steppedAt: now}
+			d.classes[n].limit = d.target(&d.classes[n])
+		}
+		o := &d.classes[n]
+		unlimited := o.Threads == 0
+		o.Class, o.pool, o.retired = c, numbers[c.Pool], false
+		if most := d.target(o); o.limit > most || unlimited {
+			o.limit = most
+		}
+		o.credit = min(o.credit, c.Work)
+		d.numbers = append(d.numbers, n)
+	}
+	d.tidy()
+	return nil
+}
+
+// check finds what a plan says twice, or of pools that it doesn't have.
+func (p *Plan) check() error {
+	if len(p.Classes) > MostClasses {
+		return fmt.Errorf("statements.classes: expected at most %d, found %d", MostClasses, len(p.Classes))
+	}
+	pools, classes := map[string]bool{}, map[string]bool{}
+	for i, o := range p.Pools {
+		if o.Name == "" || pools[o.Name] {
+			return fmt.Errorf("statements.pools[%d].name: expected a name of its own, found %q", i, o.Name)
+		}
+		pools[o.Name] = true
+	}
+	for i, c := range p.Classes {
+		if c.Name == "" || classes[c.Name] {
+			return fmt.Errorf("statements.classes[%d].name: expected a name of its own, found %q", i, c.Name)
+		}
+		if classes[c.Name] = true; c.Pool != "" && !pools[c.Pool] {
+			return fmt.Errorf("statements.classes[%d].pool: expected the name of one of the pools, found %q", i, c.Pool)
+		}
+	}
+	return nil
+}
+
+// free finds a place behind the first that is not in use, or adds one.
+func free[T any](list *[]T, unused func(*T) bool) int {
+	for n := 1; n < len(*list); n++ {
+		if unused(&(*list)[n]) {
+			return n
+		}
+	}
+	*list = append(*list, *new(T))
+	return len(*list) - 1
+}
+
+// tidy frees the numbers of what no plan names and no task holds.
+func (d *Desk) tidy() {
+	used := make([]bool, len(d.pools))
+	for n := 1; n < len(d.classes); n++ {
+		c := &d.classes[n]
+		if c.retired && c.out == 0 && c.waiting == 0 {
+			*c = class{}
+		}
+		used[c.pool] = true
+	}
+	for n := 1; n < len(d.pools); n++ {
+		p := &d.pools[n]
+		named := slices.ContainsFunc(d.plan.Pools, func(o Pool) bool { return o.Name == p.Name })
+		if !named && !used[n] {
+			*p = pool{}
+		}
+	}
+}
+
+// Listed takes in a delivery of the engine list, as the decisions do.
+func (d *Desk) Listed(now admission.Time, form admission.Form, list []admission.Listing) {
+	if form == admission.NoAnswer {
+		return
+	}
+	if form != admission.Changes {
+		d.engines = d.engines[:0]
+	}
+	for _, l := range list {
+		n := slices.IndexFunc(d.engines, func(o admission.Listing) bool { return o.Engine == l.Engine })
+		switch {
+		case n >= 0 && l.State == admission.Gone:
+			d.engines = slices.Delete(d.engines, n, n+1)
+		case n >= 0:
+			d.engines[n] = l
+		case l.State != admission.Gone:
+			d.engines = append(d.engines, l)
+		}
+	}
+	d.count()
+	for n := 1; n < len(d.classes); n++ { // down at once
+		if c := &d.classes[n]; c.limit > d.target(c) {
+			c.limit, c.steppedAt = d.target(c), now
+		}
+	}
+}
+
+// count sums up the cores of each pool's engines that take new tasks.
+func (d *Desk) count() {
+	for n := range d.pools {
+		p := &d.pools[n]
+		p.live = 0
+		for i := range d.engines {
+			if l := &d.engines[i]; l.State == admission.Live && d.In(n, l) {
+				cores := 1.0
+				if l.Kind >= 0 && l.Kind < len(d.cores) {
+					cores = max(1, d.cores[l.Kind])
+				}
+				p.live += cores
+			}
+		}
+		p.most = max(p.most, p.live)
+	}
+}
+
+// target is a class's limit by the engines that its pool has now: in proportion to the most that it had.
+func (d *Desk) target(c *class) float64 {
+	p := &d.pools[c.pool]
+	if p.most == 0 {
+		return c.Threads
+	}
+	return c.Threads * p.live / p.most
+}
+
+// Due is the timer: limits step up again, and numbers that nobody needs are freed.
+func (d *Desk) Due(now admission.Time) {
+	// A limit comes back within some eight seconds: engines that return are cold, and what was held back must not fall
+	// on them at once. The step is never below one thread, so that small limits come back as soon.
+	const every, steps = admission.Second, 8
+	tidy := false
+	for n := 1; n < len(d.classes); n++ {
+		c := &d.classes[n]
+		tidy = tidy || c.inUse && c.retired && c.out == 0 && c.waiting == 0
+		if most := d.target(c); c.limit < most && now-c.steppedAt >= every {
+			c.limit, c.steppedAt = min(most, c.limit+max(1, c.Threads/steps)), now
+		}
+	}
+	if tidy {
+		d.tidy()
+	}
+}
+
+// Arrived rules on a task of the plan's n-th class, counted from 1 (0: none); a task that is taken waits under the
+// number that is returned.
+func (d *Desk) Arrived(n int) (number int, r Ruling, text string) {
+	if n <= 0 || n > len(d.numbers) {
+		return 0, Taken, ""
+	}
+	number = d.numbers[n-1]
+	c := &d.classes[number]
+	switch {
+	case c.Refuse != "":
+		c.counts.Refused++
+		return 0, Refused, c.Refuse
+	case c.Waiting > 0 && c.waiting >= c.Waiting:
+		c.counts.Crowded++
+		return 0, Crowded, ""
+	}
+	c.counts.Taken++
+	c.waiting++
+	return number, Taken, ""
+}
+
+// Open tells whether one more task of a class, of so many threads, may go out now. One that is wider than the whole
+// limit goes alone.
+func (d *Desk) Open(now admission.Time, number int, threads float64) bool {
+	c := &d.classes[number]
+	if c.Threads > 0 && (c.limit <= 0 || c.out > 0 && c.running+threads > c.limit) {
+		return false
+	}
+	if c.Work > 0 {
+		c.credit += c.Work * float64(now-c.filledAt) / float64(admission.Second)
+		c.credit, c.filledAt = min(c.credit, c.Work), now // what is not used for a second is gone
+		return c.credit > 0
+	}
+	return true
+}
+
+// Pool is the number of a class's pool.
+func (d *Desk) Pool(number int) int { return d.classes[number].pool }
+
+// In tells whether an engine belongs to a pool.
+func (d *Desk) In(n int, l *admission.Listing) bool {
+	p := &d.pools[n]
+	return (len(p.zones) == 0 || slices.Contains(p.zones, l.Zone)) && (len(p.kinds) == 0 || slices.Contains(p.kinds, l.Kind))
+}
+
+// Sent takes in that a task went out, with the ms of work that are foreseen (0: not known); it returns what it was counted
+// for.
+func (d *Desk) Sent(number int, threads, work float64) (charged float64) {
+	c := &d.classes[number]
+	c.waiting--
+	c.out++
+	c.running += threads
+	if charged = work; charged == 0 {
+		charged = c.cost
+	}
+	// A class that owes more than this is not held back for longer: an estimate can be far off.
+	const mostOwed = 10 // seconds of its budget
+	c.credit = max(c.credit-charged, -mostOwed*c.Work)
+	return charged
+}
+
+// Back takes in that a hand-off has ended, with the ms of work that it took (0: not told) and whether its task waits again.
+func (d *Desk) Back(number int, threads, charged, cost float64, waits bool) {
+	c := &d.classes[number]
+	if c.out--; c.out == 0 {
+		c.running = 0
+	} else {
+		c.running -= threads
+	}
+	if waits {
+		c.waiting++
+	}
+	if cost > 0 {
+		c.counts.Delivered++
+		c.credit = min(c.credit+charged-cost, c.Work)
+		const recent = 0.1 // some ten answers
+		if c.cost == 0 {
+			c.cost = cost
+		}
+		c.cost += recent * (cost - c.cost)
+	}
+}
+
+// Left takes in that a waiting task got its final answer, or that its client left.
+func (d *Desk) Left(number int) { d.classes[number].waiting-- }
+
+// State is one class as it stands.
+type State struct {
+	Name           string
+	Retired        bool
+	Limit, Running float64 // threads
+	Out, Waiting   int
+	Counts
+}
+
+// States are those of all classes, in the order of their numbers.
+func (d *Desk) States() (out []State) {
+	for n := 1; n < len(d.classes); n++ {
+		if c := &d.classes[n]; c.inUse {
+			out = append(out, State{c.Name, c.retired, c.limit, c.running, c.out, c.waiting, c.counts})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/router/desk.go
@@ -0,0 +1,51 @@
+package router
+
+import "magpiebank/internal/admission"
+
+// Desk is what an operator's rules add to a gateway: it puts tasks into classes, limits what runs of each, and foresees
+// costs. Its calls are the owner's; what a Reader does is its session's. Package operator has the one there is.
+type Desk interface {
+	admission.Gate
+	Listed(now admission.Time, form admission.Form, list []admission.Listing)
+	Due(now admission.Time)
+	// Arrived rules on the task that a reader has read. A text in refuse is the client's final answer; crowded: it is
+	// nacked, as too many of its class wait.
+	Arrived(r Reader) (f admission.Foreseen, crowded bool, refuse string)
+	// Sent takes in a hand-off; Back its end, with the work it took (0: not told) and whether its task waits again. What
+	// Sent returns is handed to Back.
+	Sent(f admission.Foreseen, threads float64) (charged float64)
+	Back(class int, threads, charged float64, work admission.Time, waits bool)
+	// Left takes in that a waiting task got its final answer.
+	Left(class int)
+	Reader() Reader
+}
+
+// Reader reads the statements of one session, one after the other.
+type Reader interface {
+	// Read reads a statement that is to be a task.
+	Read(sql []byte, lane, tables int)
+	// Answered takes in what the statement read last has cost, and the MB it needed (0: not told).
+	Answered(work admission.Time, memory float64)
+}
+
+// sent notes a hand-off.
+func (o *owner) sent(h *handOff) {
+	if s := h.session; s.class > 0 {
+		h.class, h.threads = s.class, float64(o.site.Lanes[s.laneNumber].Threads)
+		h.charged = o.desk.Sent(s.foreseen, h.threads)
+		s.held = false
+	}
+}
+
+// back tells the module that a hand-off has ended, and before it what limits its class.
+func (o *owner) back(now admission.Time, h *handOff, how admission.Outcome, over bool, work admission.Time, memory float64) {
+	if h.class > 0 {
+		s := h.session
+		waits := !over && o.tasks[h.task] == s && s.taken == h.task
+		o.desk.Back(h.class, h.threads, h.charged, work, waits)
+		if waits {
+			s.held = true
+		}
+	}
+	o.module.Ended(now, h.task, how, over, work, memory, admission.NoReport)
+}
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -33,6 +33,10 @@
 	memory    float64
 	state     atomic.Int32
 
+	// As the desk counts it.
+	class            int
+	threads, charged float64
+
 	rank    int
 	link    *link
 	rested  time.Duration // how long its connection was idle before
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -16,6 +16,7 @@
 	h.stop = a.o.clock.After(patience, func() {
 		a.o.tellEnded(h, admission.TimedOut)
 	})
+	a.o.sent(h)
 	if e == nil { // the list took it away within one event
 		a.o.tellEnded(h, admission.Unreachable)
 		return
@@ -70,7 +71,12 @@
 
 func (a host) Wake(at admission.Time) {
 	a.o.clock.After(at-a.o.clock.Now(), func() {
-		a.o.tell(func(now admission.Time) { a.o.module.Due(now) }) // the first is asked for before the module is there
+		a.o.tell(func(now admission.Time) { // the first is asked for before the module is there
+			if a.o.desk != nil {
+				a.o.desk.Due(now)
+			}
+			a.o.module.Due(now)
+		})
 	})
 }
 
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -18,6 +18,8 @@
 	inbox          *mailbox
 	log            *slog.Logger
 	network        *deployment.Network
+	site           *admission.Deployment
+	desk           Desk             // nil: there are no classes
 	tape           *capture.Capture // nil: nothing is recorded
 	door           door
 	statements     atomic.Int64 // bytes set aside for long statements,
@@ -39,7 +41,7 @@
 const ownDescriptors = 24
 
 func newOwner(start *deployment.Start, clock Clock, log *slog.Logger) *owner {
-	o := &owner{clock: clock, inbox: newMailbox(), log: log, network: start.Network, now: clock.Now(),
+	o := &owner{clock: clock, inbox: newMailbox(), log: log, network: start.Network, site: start.Site, now: clock.Now(),
 		sessions: map[uint32]*session{}, tasks: map[admission.TaskID]*session{},
 		engines: map[admission.EngineID]*engine{}}
 	// Clients have what engines, which get a third, and the process itself leave of the descriptors; by the
@@ -53,6 +55,14 @@
 	return o
 }
 
+// guard has an operator's rules heeded; it is called before anything is told.
+func (o *owner) guard(d Desk) {
+	if d != nil {
+		o.desk = d
+		o.module.Guard(d)
+	}
+}
+
 // loop makes the calls of the inbox until stop is closed.
 func (o *owner) loop(stop <-chan struct{}) {
 	for {
@@ -95,6 +105,9 @@
 			o.engines[l.Engine] = newEngine(o, l.Engine, addresses[i])
 		}
 	}
+	if o.desk != nil {
+		o.desk.Listed(now, form, list)
+	}
 	o.module.Listed(now, form, list)
 }
 
@@ -105,9 +118,24 @@
 		s.mail.put(func() { s.refuse("the id is in use") })
 		return
 	}
+	var f admission.Foreseen
+	if o.desk != nil {
+		var crowded bool
+		var refuse string
+		switch f, crowded, refuse = o.desk.Arrived(s.reader); {
+		case refuse != "":
+			s.mail.put(func() { s.barred(refuse) })
+			return
+		case crowded:
+			s.mail.put(func() { s.nack(int64(o.site.ComeBack / admission.Millisecond)) })
+			return
+		}
+		s.foreseen, s.laneNumber = f, lane
+		s.class, s.held = f.Class, f.Class > 0
+	}
 	o.tasks[task], s.taken = s, task
 	s.cutoff, s.tries, s.out, s.memory, s.rank = cutoff, 0, nil, 0, 1
-	o.module.Arrived(now, task, cutoff, lane, 0, "", tables, 0)
+	o.module.Arrived(now, task, cutoff, lane, 0, "", tables, f)
 }
 
 // tellEnded queues the end of a hand-off.
@@ -131,7 +159,10 @@
 	case admission.Delivered:
 		work, memory = h.work, h.needs
 		if o.tasks[h.task] == s {
-			o.answer(s, func() { s.deliver(h.pages) })
+			o.answer(s, func() {
+				s.deliver(h.pages)
+				s.learn(h)
+			})
 		}
 	case admission.TimedOut, admission.Cancelled:
 		if s.mail.put(h.undo); !h.withdraw() {
@@ -143,7 +174,7 @@
 		}
 		how = admission.Unreachable // it was never written
 	}
-	o.module.Ended(now, h.task, how, how == admission.Delivered, work, memory, admission.NoReport)
+	o.back(now, h, how, how == admission.Delivered, work, memory)
 }
 
 // again sends a hand-off once more that was never written, as its connection broke when it was new: that tells
@@ -170,7 +201,7 @@
 	if how := h.doubt; how != admission.Delivered {
 		h.doubt = admission.Delivered
 		h.stop()
-		o.module.Ended(now, h.task, how, false, 0, 0, admission.NoReport)
+		o.back(now, h, how, false, 0, 0)
 	}
 }
 
@@ -178,6 +209,10 @@
 func (o *owner) answer(s *session, write func()) {
 	delete(o.tasks, s.taken)
 	s.taken = ""
+	if s.held {
+		s.held = false
+		o.desk.Left(s.class)
+	}
 	s.mail.put(write)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,8 +26,8 @@
 const lastRequests = 700 * time.Millisecond
 
 // Serve runs a router until stop is closed and all it had taken is answered. What comes by renewed is a new
-// configuration; tape records the tasks that come, where there is one.
-func Serve(start *deployment.Start, tape *capture.Capture, log *slog.Logger, stop <-chan struct{}, renewed <-chan *deployment.Start) error {
+// configuration; tape records the tasks that come, and desk has an operator's rules, where there are some.
+func Serve(start *deployment.Start, tape *capture.Capture, desk Desk, log *slog.Logger, stop <-chan struct{}, renewed <-chan *deployment.Start) error {
 	if start.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(start.MemoryMB) << 20 * 3 / 4) // the rest is for stacks and the sockets' buffers
 	}
@@ -37,6 +37,7 @@
 	}
 	o := newOwner(start, newWallClock(), log)
 	o.tape = tape
+	o.guard(desk)
 	o.serve(start, listener, stop, renewed)
 	return nil
 }
@@ -116,6 +117,9 @@
 			continue
 		}
 		s.r, s.mail = bufio.NewReaderSize(tcp, 4096), newMailbox()
+		if o.desk != nil {
+			s.reader = o.desk.Reader()
+		}
 		go s.run()
 	}
 }
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -52,6 +52,12 @@
 	out    *handOff
 	memory float64
 	rank   int
+
+	reader     Reader // nil: statements are not read
+	foreseen   admission.Foreseen
+	class      int  // of the desk's; 0: none
+	held       bool // in a class, with no hand-off out
+	laneNumber int
 }
 
 const (
@@ -276,6 +282,9 @@
 	s.answerBy = time.Now().Add(time.Duration(waitMS)*time.Millisecond + afterCutoff)
 	s.waiting = true
 	tables := mysql.Tables(statement)
+	if s.reader != nil {
+		s.reader.Read(statement, lane, tables)
+	}
 	s.o.tape.Task(s.lane, tables, waitMS, sql, statement)
 	s.o.tell(func(now admission.Time) {
 		s.o.arrived(now, s, task, lane, now+admission.Time(waitMS)*admission.Millisecond, tables)
@@ -315,6 +324,20 @@
 	s.write(head, rows, mysql.EOF(nil, number))
 }
 
+// learn has the reader know what the statement cost.
+func (s *session) learn(h *handOff) {
+	if s.reader != nil {
+		s.reader.Answered(h.work, h.needs)
+	}
+}
+
+// barred gives a task the final answer that an operator's rule has for it.
+func (s *session) barred(why string) {
+	s.waiting = false
+	s.turnAway()
+	s.write(mysql.Error(nil, s.number+1, mysql.ErrBarred, why))
+}
+
 func (s *session) nack(comeBackMS int64) {
 	s.waiting = false
 	s.turnAway()
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -281,7 +281,9 @@
 		if options&1 == 0 {
 			work = 0
 		}
-		call = func(r *admission.Router) { r.Arrived(now, id, cutoff, lane, tenant, key, tables, work) }
+		call = func(r *admission.Router) {
+			r.Arrived(now, id, cutoff, lane, tenant, key, tables, admission.Foreseen{Work: work})
+		}
 	case "accepted":
 		// A stream that broke comes back finished, so its start asks for no decision.
 		w.text("handle")
--- a/internal/statement/lexer.go
+++ b/internal/sqltext/lexer.go
@@ -1,7 +1,6 @@
-// Package statement reads statements far enough to tell what they will cost: one lexer for the whole project, shapes
-// that are the same for statements which differ in literals only, and features. It works on bytes alone; what it can't
-// make sense of still gets a shape and features from its tokens.
-package statement
+// Package sqltext splits statements into tokens and finds their shapes, which are the same for statements that differ in
+// literals only. It works on bytes alone, allocates nothing and reads any text; it is the one lexer of the project.
+package sqltext
 
 import "bytes"
 
@@ -19,6 +18,10 @@
 	Sign        // any other character, one by one
 )
 
+var kindNames = [...]string{"end", "word", "quoted", "text", "number", "hint", "sign"}
+
+func (k Kind) String() string { return kindNames[k] }
+
 // Token is a piece of a statement; its text is the statement's bytes From to To.
 type Token struct {
 	Kind     Kind
@@ -61,10 +64,18 @@
 	for l.At < len(l.Text) {
 		from := l.At
 		c := l.Text[from]
-		switch {
-		case class[c]&space != 0:
+		switch kind := class[c]; {
+		case kind == space:
 			l.At++
 			continue
+		case kind == letter: // as good as every third token
+			at := from + 1
+			for at < len(l.Text) && class[l.Text[at]]&letter != 0 {
+				at++
+			}
+			l.At = at
+			l.last = Word
+			return Token{Kind: Word, From: from, To: at}
 		case c == '#', c == '-' && l.ahead(1) == '-' && (from+2 >= len(l.Text) || l.Text[from+2] <= ' '):
 			l.past(from, "\n")
 			continue
@@ -104,11 +115,6 @@
 			return l.is(Token{Kind: Text, From: from, To: l.At})
 		case class[c]&digit != 0, c == '.' && l.ahead(1) >= '0' && l.ahead(1) <= '9' && l.last != Word && l.last != Quoted:
 			return l.is(l.number(from))
-		case class[c]&letter != 0:
-			for l.At++; l.At < len(l.Text) && class[l.Text[l.At]]&letter != 0; {
-				l.At++
-			}
-			return l.is(Token{Kind: Word, From: from, To: l.At})
 		}
 		l.At++
 		return l.is(Token{Kind: Sign, Sign: c, From: from, To: l.At})
@@ -127,6 +133,23 @@
 	return ahead.Next()
 }
 
+// Dotted tells whether the next token is a dot: the name before it qualifies another.
+func (l *Lexer) Dotted() bool {
+	at := l.At
+	for at < len(l.Text) && class[l.Text[at]] == space {
+		at++
+	}
+	if at >= len(l.Text) {
+		return false
+	}
+	switch c := l.Text[at]; c {
+	case '/', '*', '#', '-': // a comment may stand between
+		return l.Peek().Sign == '.'
+	default:
+		return c == '.'
+	}
+}
+
 // Bytes is a token's text.
 func (l *Lexer) Bytes(t Token) []byte { return l.Text[t.From:t.To] }
 
--- a/internal/statement/shape.go
+++ b/internal/sqltext/shape.go
@@ -1,4 +1,4 @@
-package statement
+package sqltext
 
 import (
 	"github.com/cespare/xxhash/v2"
@@ -13,14 +13,38 @@
 // Shape is the same number for statements that differ only in literals, the length of lists of literals and of VALUES, the
 // number in a schema's name, spacing, comments and the case of words. It allocates nothing.
 func Shape(sql []byte) uint64 {
+	shape, _ := ShapeAnd(sql)
+	return shape
+}
+
+// Literals are the first of a statement's literals, of a list the first one, as numbers that are the same for the same text.
+type Literals struct {
+	N    int
+	Hash [4]uint32
+}
+
+func (l *Literals) add(text []byte) {
+	if l.N == len(l.Hash) {
+		return
+	}
+	h := uint32(2166136261)
+	for _, c := range text[:min(len(text), 24)] { // further letters tell literals of people's data hardly apart
+		h = (h ^ uint32(c)) * 16777619
+	}
+	l.Hash[l.N] = h
+	l.N++
+}
+
+// ShapeAnd is a statement's shape, and its literals.
+func ShapeAnd(sql []byte) (uint64, Literals) {
 	if len(sql) > MostText {
-		return TooLong
+		return TooLong, Literals{}
 	}
 	var n normal
 	n.hash.Reset()
 	n.run(sql)
 	n.hash.Write(n.buffer[:n.held])
-	return n.hash.Sum64()
+	return n.hash.Sum64(), n.literals
 }
 
 // Normal appends a statement's normal form, which its shape is the hash of.
@@ -41,6 +65,8 @@
 	keep   bool
 	held   int
 	buffer [256]byte
+
+	literals Literals
 }
 
 func (n *normal) flush() {
@@ -60,24 +86,51 @@
 	n.held++
 }
 
+// sign writes a token of one character.
+func (n *normal) sign(c byte) {
+	if n.held+2 > len(n.buffer) {
+		n.flush()
+	}
+	n.buffer[n.held], n.buffer[n.held+1] = c, ' '
+	n.held += 2
+}
+
 func (n *normal) word(text []byte, lower bool) {
 	n.name(text, lower)
 	n.byte(' ')
 }
 
+// folded has each byte, capitals as small letters.
+var folded = func() (t [256]byte) {
+	for c := range t {
+		if t[c] = byte(c); 'A' <= c && c <= 'Z' {
+			t[c] += 'a' - 'A'
+		}
+	}
+	return t
+}()
+
 func (n *normal) name(text []byte, lower bool) {
-	for _, c := range text {
-		if lower && 'A' <= c && c <= 'Z' {
-			c += 'a' - 'A'
+	for len(text) > 0 {
+		if n.held == len(n.buffer) {
+			n.flush()
+		}
+		room := n.buffer[n.held:]
+		m := copy(room, text)
+		if lower {
+			for i, c := range room[:m] {
+				room[i] = folded[c]
+			}
 		}
-		n.byte(c)
+		n.held += m
+		text = text[m:]
 	}
 }
 
 // run writes the normal form: tokens with one space behind each, literals as ?, further ones of a list as one +.
 func (n *normal) run(sql []byte) {
 	l := Lexer{Text: sql}
-	var before Token
+	sign := false    // the token before is a sign other than a closing bracket
 	literal := false // the last thing written was a literal, or a list of them
 	list := false    // and its + is written
 	comma := false   // a comma behind a literal is held back: it may go on as a list
@@ -86,7 +139,7 @@
 	for {
 		t := l.Next()
 		if comma && t.Kind != Text && t.Kind != Number && !(t.Kind == Sign && t.Sign == '-') {
-			n.word([]byte{','}, false)
+			n.sign(',')
 			comma = false
 		}
 		switch t.Kind {
@@ -95,18 +148,19 @@
 		case Text, Number:
 			if literal && comma {
 				if comma = false; !list {
-					n.word([]byte{'+'}, false)
+					n.sign('+')
 					list = true
 				}
 				break
 			}
+			n.literals.add(l.Bytes(t))
 			if t.Open {
 				n.word([]byte("'..."), false)
 			} else {
-				n.word([]byte{'?'}, false)
+				n.sign('?')
 			}
 			literal, list = true, false
-			before = t
+			sign = false
 			continue
 		case Sign:
 			switch t.Sign {
@@ -118,23 +172,23 @@
 			case '-', '+':
 				// A sign before a number belongs to it, unless it stands between two terms.
 				if next := l.Peek(); next.Kind == Number && next.From == t.To &&
-					(comma || before.Kind == Sign && before.Sign != ')') {
+					(comma || sign) {
 					continue
 				}
 				if comma {
-					n.word([]byte{','}, false)
+					n.sign(',')
 					comma = false
 				}
 			case '(':
 				depth++
 			case ')':
 				if depth--; values && depth == row {
-					n.word([]byte{')'}, false)
+					n.sign(')')
 					literal = false
 					if n.rows(&l) {
-						n.word([]byte{'+'}, false)
+						n.sign('+')
 					}
-					before = t
+					sign = false
 					continue
 				}
 			case ';':
@@ -142,22 +196,29 @@
 					continue
 				}
 			}
-			n.word([]byte{t.Sign}, false)
+			n.sign(t.Sign)
 		case Word:
 			text := l.Bytes(t)
-			if l.Peek().Sign == '.' {
+			if l.Dotted() {
 				n.schema(text, true)
 			} else {
 				n.word(text, true)
-				if is(text, "VALUES") || is(text, "VALUE") {
-					values, row = true, depth
-				} else if is(text, "SELECT") || is(text, "ON") {
-					values = false
+				switch len(text) {
+				case 5, 6:
+					if is(text, "VALUES") || is(text, "VALUE") {
+						values, row = true, depth
+					} else if values && is(text, "SELECT") {
+						values = false
+					}
+				case 2:
+					if values && is(text, "ON") {
+						values = false
+					}
 				}
 			}
 		case Quoted:
 			n.byte('`')
-			if l.Peek().Sign == '.' {
+			if l.Dotted() {
 				n.schema(l.Bytes(t), false)
 			} else {
 				n.word(l.Bytes(t), false)
@@ -169,7 +230,7 @@
 		if t.Kind != Text && t.Kind != Number {
 			literal, list = false, false
 		}
-		before = t
+		sign = t.Kind == Sign && t.Sign != ')'
 	}
 }
 
@@ -181,7 +242,7 @@
 	}
 	if end > 0 && end < len(name) && name[end-1] == '_' {
 		n.name(name[:end], lower)
-		n.word([]byte{'?'}, false)
+		n.sign('?')
 		return
 	}
 	n.word(name, lower)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -22,8 +22,15 @@
 	Pace    time.Duration // of notes on how far running tasks are; 0: none
 	Cold    float64       // speed just after its start, as a share; 0: always warm
 	Warm    time.Duration // until it has come up to full speed
+
+	Planner  *Planner // what statements of its forms take; nil: Works alone say
+	MemoryMB float64  // while more than this is needed by what runs, a task that begins swaps; 0: no limit
 }
 
+// swapping is the part of its speed at which a task runs that began while memory was short: disks are some times slower
+// than memory for what doesn't fit.
+const swapping = 0.2
+
 // Engine is a stand-in for an engine, on the engines' wire. One goroutine owns what it does; its own clock stops
 // while it is paused, so that a pause delays all that runs.
 type Engine struct {
@@ -56,6 +63,8 @@
 	failing float64
 	held    int     // tasks that wait or run; those whose pages lie here are over
 	most    int     // tasks held at the same time so far
+	memory  float64 // MB that what runs needs
+	swapped int     // tasks that began while it was short of memory
 	waiting []heard // requests that came while it stood still
 }
 
@@ -77,6 +86,7 @@
 	key     jobKey
 	work    Work
 	lane    string
+	text    string
 	left    time.Duration // of its work
 	last    time.Duration // on the engine's clock, when it will have run to its end
 	since   time.Duration // on the engine's clock, when it began to run
@@ -189,6 +199,12 @@
 	})
 }
 
+// Swapped is how many tasks have begun while it was short of memory.
+func (e *Engine) Swapped() (n int) {
+	e.do(func() { n = e.swapped })
+	return n
+}
+
 // Held is how many tasks it holds, and the most that it held so far.
 func (e *Engine) Held() (now, most int) {
 	e.do(func() { now, most = e.held, e.most })
@@ -364,6 +380,11 @@
 		return
 	}
 	j := &job{key: k, work: work, lane: lane, left: work.Service.draw(k.id), place: -1}
+	if e.m.Planner != nil {
+		if took, memory, ok := e.m.Planner.Run(statement, k.id); ok {
+			j.left, j.work.MemoryMB, j.text = took, memory, statement
+		}
+	}
 	j.service = j.left
 	e.jobs[k] = j
 	e.held++
@@ -391,7 +412,12 @@
 		j.runs, j.since = true, e.own()
 		e.Log.began(j.key.id)
 		e.running++
-		last := e.own() + time.Duration(float64(j.left)/e.warmth())
+		speed := e.warmth()
+		if e.memory += j.work.MemoryMB; e.m.MemoryMB > 0 && e.memory > e.m.MemoryMB {
+			speed *= swapping
+			e.swapped++
+		}
+		last := e.own() + time.Duration(float64(j.left)/speed)
 		j.timer = e.wheel.Add(wheel.Tick(last/engineTick), e.place(j))
 		j.last = last
 		e.setNote(j)
@@ -432,6 +458,10 @@
 	}
 	e.running--
 	e.held--
+	e.memory -= j.work.MemoryMB
+	if j.text != "" {
+		e.m.Planner.Ran(j.text)
+	}
 	j.runs, j.over, j.place = false, true, -1
 	id := j.key.id
 	e.Log.ran(id)
@@ -459,6 +489,7 @@
 	}
 	if j.runs {
 		e.running--
+		e.memory -= j.work.MemoryMB
 		e.wheel.Stop(j.timer)
 		e.timed[j.place] = nil
 		e.freed = append(e.freed, j.place)
--- a/internal/statement/book.go
+++ b/internal/statement/book.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 
 	"gonum.org/v1/gonum/mat"
+
+	"magpiebank/internal/sqltext"
 )
 
 // Estimate is what a statement will cost, as far as is known.
@@ -18,6 +20,7 @@
 	Times   float64 // and how many times
 	Doubt   bool    // a load has ended on its tables, or its cost has moved, since it was sure
 	Full    string  // the table that it reads as a whole; empty: none
+	Known   bool    // there were answers to rest on, of its own or of its lane; else Work and Upper mean nothing
 }
 
 // Tables knows what an operator says of tables.
@@ -33,9 +36,14 @@
 	lanes  []laneCost
 	shared regression
 	groups map[int]*tablesGroup
+	hours  atomic.Int64 // of age, as told by Age
+
+	watching     atomic.Int64 // shapes that are searched for a literal that matters,
+	mostWatching int64        // and how many may be
 
 	// Counts since the start.
 	Seen, Parsed, Unparsed, Moved atomic.Int64
+	Split                         atomic.Int64 // shapes whose cost follows a literal
 	Answers, Wrong                atomic.Int64 // answers, and those that took three times what was estimated, or a third of it
 }
 
@@ -48,6 +56,9 @@
 
 type laneCost struct{ mean, n float64 } // of the logarithms of its costs
 
+// mostLane is how many answers a lane's mean rests on at the most, so that it follows a mix that changes.
+const mostLane = 500
+
 type tablesGroup struct{ loads int }
 
 // record is what answers told of a shape on a group of tables.
@@ -63,6 +74,10 @@
 	base, dev float64 // what was usual when it was last set
 	recent    [recents]float64
 	trend     trend
+	hours     int64 // the age up to which old answers have faded
+	skew      *skew
+	searched  bool // no literal explained its scatter
+	place     int  // of the literal that does, from 1; 0: none
 }
 
 // The sizes that are kept of recent answers: from so many a changed cost begins anew.
@@ -109,9 +124,24 @@
 	b.shapes = NewCache[*sight](bytes/4, sightBytes)
 	b.costs = NewCache[*record](bytes-bytes/4, recordBytes)
 	b.shared.begin()
+	b.mostWatching = bytes / 16 / int64(skewBytes) // they are beside the bytes of the records
 	return b
 }
 
+// Catalogue goes by what an operator says of tables from now on. Shapes are read again, as what narrows them may differ.
+func (b *Book) Catalogue(tables Tables) {
+	b.mu.Lock()
+	b.tables = tables
+	b.mu.Unlock()
+	b.shapes.Clear()
+}
+
+// Age tells how many hours have passed since the last call: old answers fade.
+func (b *Book) Age(hours int64) { b.hours.Add(hours) }
+
+// halfAfter is the hours in which an answer comes to count half, if no other comes: loads of data come by the day.
+const halfAfter = 24
+
 // What an entry takes with what it points to, as measured by TestBytes.
 const (
 	sightBytes  = 1100
@@ -124,6 +154,8 @@
 	Group int
 	Lane  int
 	sight *sight
+
+	literals sqltext.Literals
 }
 
 // Features are what is known of the shape.
@@ -136,69 +168,63 @@
 // Look finds a statement's shape, and parses it where the shape is new. It is meant for the goroutine that read the
 // statement.
 func (b *Book) Look(sql []byte, group, lane int) Sight {
-	s := Sight{Shape: Shape(sql), Group: group, Lane: lane}
+	s := Sight{Group: group, Lane: lane}
+	s.Shape, s.literals = sqltext.ShapeAnd(sql)
 	b.Seen.Add(1)
 	if known, ok := b.shapes.Get(s.Shape); ok {
 		s.sight = known
 		return s
 	}
-	f := Read(sql)
+	b.mu.Lock()
+	tables := b.tables
+	b.mu.Unlock()
+	f := ReadWith(sql, tables)
 	if b.Parsed.Add(1); !f.Parsed {
 		b.Unparsed.Add(1)
 	}
-	s.sight = b.see(f)
+	s.sight = see(f, tables)
 	b.shapes.Put(s.Shape, s.sight)
 	return s
 }
 
-func (b *Book) see(f *Features) *sight {
-	if b.tables != nil {
-		f.narrow(func(t *Table) []string {
-			_, keys, ok := b.tables(t)
-			if !ok {
-				return nil
-			}
-			return keys
-		})
-	}
+func see(f *Features, tables Tables) *sight {
 	s := &sight{features: f}
 	if t := f.Full(); t != nil {
-		if s.full = t.Name; t.Schema != "" {
-			s.full = t.Schema + "." + t.Name
-		}
+		s.full = t.String()
 	}
-	s.vector = b.vector(f, s.full != "")
+	s.vector = vector(f, s.full != "", tables)
 	return s
 }
 
+// knownFrom is how many answers of a lane a first estimate must rest on: with fewer its mean is a guess.
+const knownFrom = 8
+
 // Estimate is what a statement will cost.
-func (b *Book) Estimate(s Sight) (e Estimate) {
+func (b *Book) Estimate(s *Sight) (e Estimate) {
 	e.Full = s.sight.full
 	b.mu.Lock()
 	first := b.lanes[s.Lane].mean + b.shared.value(&s.sight.vector)
+	e.Known = b.lanes[s.Lane].n >= knownFrom
 	loads := 0
 	if g := b.groups[s.Group]; g != nil {
 		loads = g.loads
 	}
 	b.mu.Unlock()
-	const unsure = 1.0 // deviation of a first estimate, of logarithms
 	work, spread := first, unsure
-	b.costs.With(costKey(s.Shape, s.Group), func(r *record) {
-		usual, dev, share, times := r.sketch.Modes()
-		e.Answers, e.Bad, e.Times, e.Memory = r.n, share, times, max(r.memory, 0.7*r.most)
-		if slope, middle := r.trend.slope(); slope > 0 {
-			usual += slope * (float64(loads) - middle)
-		}
-		// The first estimate counts as two answers.
-		const weight = 2.0
-		n := float64(r.sketch.Count())
-		work = (weight*first + n*usual) / (weight + n)
-		spread = (weight*unsure + n*max(leastDev, dev)) / (weight + n)
-		e.Doubt = r.doubt > 0 || loads > r.loads
+	key, place := costKey(s.Shape, s.Group), 0
+	b.costs.With(key, func(r *record) {
+		place = r.place
+		work, spread = b.blend(&e, r, first, loads)
 	})
-	e.Work = math.Exp(work)
-	const nine = 1.2816 // deviations under which nine of ten of a normal stay
-	e.Upper = math.Exp(work + nine*spread)
+	if place > 0 {
+		b.costs.With(splitKey(key, &s.literals, place), func(r *record) {
+			if r.n >= ownFrom {
+				work, spread = b.blend(&e, r, first, loads)
+			}
+		})
+	}
+	e.Work = math.Exp(min(work, longest))
+	e.Upper = math.Exp(min(work+nine*spread, longest))
 	if e.Bad >= 0.05 { // nine of ten don't stay under it for sure
 		e.Upper = max(e.Upper, e.Work*e.Times)
 	}
@@ -208,14 +234,44 @@
 	return e
 }
 
+const (
+	unsure = 1.0    // deviation of a first estimate, of logarithms
+	nine   = 1.2816 // deviations under which nine of ten of a normal stay
+	// Answers of a literal's own group before they count more than those of the whole shape.
+	ownFrom = 3
+	// An hour in ms, of logarithms: no client waits longer, and what is beyond comes of an estimate gone astray.
+	longest = 15.1
+)
+
+// blend sets what a record says into an estimate; it returns the mean and deviation of the logarithms.
+func (b *Book) blend(e *Estimate, r *record, first float64, loads int) (work, spread float64) {
+	usual, dev, share, times := r.sketch.Modes()
+	e.Answers, e.Bad, e.Times, e.Memory = r.n, share, times, max(r.memory, 0.7*r.most)
+	if slope, middle := r.trend.slope(); slope > 0 {
+		usual += slope * (float64(loads) - middle)
+	}
+	// The first estimate counts as two answers. Where the shape is of a lane without answers it is none.
+	weight := 2.0
+	if !e.Known {
+		weight = 0
+	}
+	n := float64(r.sketch.Count()) * math.Exp2(-float64(b.hours.Load()-r.hours)/halfAfter)
+	e.Known = e.Known || r.n >= ownFrom
+	e.Doubt = r.doubt > 0 || loads > r.loads
+	if weight+n == 0 {
+		return first, unsure
+	}
+	return (weight*first + n*usual) / (weight + n), (weight*unsure + n*max(leastDev, dev)) / (weight + n)
+}
+
 // Answered takes in what a statement cost in milliseconds, and the MB it needed (0: not told).
-func (b *Book) Answered(s Sight, ms, memory float64) {
+func (b *Book) Answered(s *Sight, ms, memory float64) {
 	if !(ms > 0) || math.IsInf(ms, 0) {
 		return
 	}
 	y := math.Log(max(ms, least))
 	const wrong = 3 // what a class of costs spans, as a rule
-	if e := b.Estimate(s); ms > wrong*e.Work || ms < e.Work/wrong {
+	if e := b.Estimate(s); e.Known && (ms > wrong*e.Work || ms < e.Work/wrong) {
 		b.Wrong.Add(1)
 	}
 	b.Answers.Add(1)
@@ -225,29 +281,50 @@
 		loads = g.loads
 	}
 	lane := &b.lanes[s.Lane]
-	lane.n = min(lane.n+1, 500)
+	lane.n = min(lane.n+1, mostLane)
 	b.mu.Unlock()
-	k := costKey(s.Shape, s.Group)
-	fresh, robust := true, y
-	known := b.costs.With(k, func(r *record) {
+	key := costKey(s.Shape, s.Group)
+	fresh, place := true, 0
+	b.into(key, loads, func(r *record) {
 		fresh = r.n < 6
-		robust = r.learn(y, ms, memory, loads, &b.Moved)
-	})
-	if !known {
-		r := &record{loads: loads}
 		r.learn(y, ms, memory, loads, &b.Moved)
-		b.costs.Put(k, r)
+		b.watch(r, &s.literals, y)
+		place = r.place
+	})
+	if place > 0 && place <= s.literals.N {
+		b.into(splitKey(key, &s.literals, place), loads, func(r *record) { r.learn(y, ms, memory, loads, &b.Moved) })
 	}
 	b.mu.Lock()
 	lane.mean += (y - lane.mean) / lane.n
 	if fresh { // further answers of a shape teach nothing of others
-		b.shared.learn(&s.sight.vector, robust-lane.mean)
+		b.shared.learn(&s.sight.vector, y-lane.mean)
 	}
 	b.mu.Unlock()
 }
 
-// learn takes an answer into a record; it returns the answer as far as it is believed.
-func (r *record) learn(y, ms, memory float64, loads int, moved *atomic.Int64) float64 {
+// into calls f with the record of a key, a new one where there is none.
+func (b *Book) into(key uint64, loads int, f func(r *record)) {
+	hours := b.hours.Load()
+	if b.costs.With(key, func(r *record) {
+		for ; hours-r.hours >= halfAfter; r.hours += halfAfter {
+			r.sketch.Fade()
+			if r.sketch.Count() == 0 {
+				r.hours = hours
+			}
+		}
+		f(r)
+	}) {
+		return
+	}
+	r := &record{loads: loads, hours: hours}
+	f(r)
+	if gone, _ := b.costs.Put(key, r); gone != nil && gone.skew != nil {
+		b.watching.Add(-1)
+	}
+}
+
+// learn takes an answer into a record.
+func (r *record) learn(y, ms, memory float64, loads int, moved *atomic.Int64) {
 	if loads > r.loads {
 		r.loads, r.doubt = loads, doubtFor
 	}
@@ -271,25 +348,22 @@
 		if r.up > need || r.down > need {
 			moved.Add(1)
 			r.anew()
-			return y
+			return
 		}
 	}
 	r.sketch.Add(ms)
 	if r.n == learnt || r.n%64 == 0 && r.n > learnt { // what is usual is looked at again now and then
-		r.base, r.dev, _, _ = r.sketch.Modes()
-		if share := r.sketch; share.Count() > 0 { // what clipping leaves of the bad mode belongs to what is usual
-			_, _, bad, _ := r.sketch.Modes()
-			r.base += bad * clip * max(leastDev, r.dev)
-		}
+		var bad float64
+		r.base, r.dev, bad, _ = r.sketch.Modes()
+		r.base += bad * clip * max(leastDev, r.dev) // what clipping leaves of the bad mode belongs to what is usual
 		r.dev = max(leastDev, r.dev)
 	}
-	return y
 }
 
 // anew forgets all but the last answers, as the cost has moved.
 func (r *record) anew() {
 	recent := r.recent
-	*r = record{memory: r.memory, most: r.most, loads: r.loads, doubt: doubtFor}
+	*r = record{memory: r.memory, most: r.most, loads: r.loads, doubt: doubtFor, hours: r.hours, place: r.place, skew: r.skew, searched: r.searched}
 	for _, ms := range recent {
 		r.recent[r.n%recents] = ms
 		r.n++
@@ -364,7 +438,7 @@
 }
 
 // vector is what the regression sees of a statement.
-func (b *Book) vector(f *Features, full bool) (x [terms]float64) {
+func vector(f *Features, full bool, tables Tables) (x [terms]float64) {
 	log := func(n int) float64 { return math.Log1p(float64(n)) }
 	x[0] = 1
 	x[1] = log(f.Joins)
@@ -373,8 +447,8 @@
 	if full {
 		x[3] = 1
 		for i := range f.Tables {
-			if t := &f.Tables[i]; t.Scanned && b.tables != nil {
-				if n, _, ok := b.tables(t); ok {
+			if t := &f.Tables[i]; t.Scanned && tables != nil {
+				if n, _, ok := tables(t); ok {
 					rows, known = max(rows, n), true
 				}
 			}
--- a/internal/statement/cache.go
+++ b/internal/statement/cache.go
@@ -78,19 +78,19 @@
 	return ok
 }
 
-// Put offers a value; it tells whether it was let in.
-func (c *Cache[V]) Put(key uint64, v V) bool {
+// Put offers a value; it tells whether it was let in, and returns the value that went for it, if one did.
+func (c *Cache[V]) Put(key uint64, v V) (gone V, ok bool) {
 	p := c.part(key)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if i, ok := p.places[key]; ok {
 		p.entries[i].value = v
-		return true
+		return gone, true
 	}
 	if len(p.entries) < p.most {
 		p.places[key] = int32(len(p.entries))
 		p.entries = append(p.entries, cacheEntry[V]{key: key, value: v})
-		return true
+		return gone, true
 	}
 	for p.entries[p.hand].used {
 		p.entries[p.hand].used = false
@@ -99,13 +99,26 @@
 	old := &p.entries[p.hand]
 	if p.often.of(spreadKey(key)) <= p.often.of(spreadKey(old.key)) {
 		p.hand = (p.hand + 1) % len(p.entries) // the next newcomer is held against another
-		return false
+		return gone, false
 	}
+	gone = old.value
 	delete(p.places, old.key)
 	p.places[key] = int32(p.hand)
 	*old = cacheEntry[V]{key: key, value: v}
 	p.hand = (p.hand + 1) % len(p.entries)
-	return true
+	return gone, true
+}
+
+// Clear forgets all values; how often keys were asked for stays.
+func (c *Cache[V]) Clear() {
+	for i := range c.parts {
+		p := &c.parts[i]
+		p.mu.Lock()
+		clear(p.places)
+		clear(p.entries)
+		p.entries, p.hand = p.entries[:0], 0
+		p.mu.Unlock()
+	}
 }
 
 // Len is how many values it holds.
--- a/internal/statement/features.go
+++ b/internal/statement/features.go
@@ -1,8 +1,12 @@
+// Package statement tells what statements will cost: it reads features once a shape, and learns from answers. What it
+// can't make sense of still gets features from its tokens.
 package statement
 
 import (
 	"strconv"
 	"strings"
+
+	"magpiebank/internal/sqltext"
 )
 
 // Verb is what a statement does.
@@ -24,6 +28,9 @@
 
 func (v Verb) String() string { return verbNames[v] }
 
+// Verbs are the names of all verbs.
+func Verbs() []string { return verbNames[:] }
+
 // Match is how a predicate narrows what is read.
 type Match uint8
 
@@ -95,14 +102,37 @@
 		f.Parsed = true
 		f.tree(t)
 	}
-	l := Lexer{Text: sql}
-	for l.Next().Kind != End {
+	l := sqltext.Lexer{Text: sql}
+	for l.Next().Kind != sqltext.End {
 		f.Tokens++
 	}
 	f.narrow(nil)
 	return f
 }
 
+// ReadWith is a statement's features by what an operator says of tables; nil: nothing.
+func ReadWith(sql []byte, tables Tables) *Features {
+	f := Read(sql)
+	if tables != nil {
+		f.narrow(func(t *Table) []string {
+			_, keys, ok := tables(t)
+			if !ok {
+				return nil
+			}
+			return keys
+		})
+	}
+	return f
+}
+
+// String is a table's name with its schema, where it has one.
+func (t *Table) String() string {
+	if t.Schema == "" {
+		return t.Name
+	}
+	return t.Schema + "." + t.Name
+}
+
 // Full tells whether a statement reads a whole table and hands on more than a few rows of it or all it says of it.
 func (f *Features) Full() (table *Table) {
 	if f.Verb != Select && f.Verb != InsertSelect && f.Verb != Update && f.Verb != Delete {
@@ -490,20 +520,20 @@
 
 // scan reads what can be read from tokens alone.
 func (f *Features) scan(sql []byte) {
-	l := Lexer{Text: sql}
+	l := sqltext.Lexer{Text: sql}
 	place, from, where := false, false, false
 	first := true
 	var column []string // the last name, with what it is qualified by
-	var before Token
-	for t := l.Next(); t.Kind != End; t = l.Next() {
+	var before sqltext.Token
+	for t := l.Next(); t.Kind != sqltext.End; t = l.Next() {
 		text := l.Bytes(t)
 		switch {
-		case t.Kind == Sign && t.Sign == ',' && from:
+		case t.Kind == sqltext.Sign && t.Sign == ',' && from:
 			place = true
-		case t.Kind == Sign && (t.Sign == '=' || t.Sign == '<' || t.Sign == '>') && where && before.Kind != Sign && column != nil:
+		case t.Kind == sqltext.Sign && (t.Sign == '=' || t.Sign == '<' || t.Sign == '>') && where && before.Kind != sqltext.Sign && column != nil:
 			m := Range
 			if next := l.Peek(); t.Sign == '=' {
-				if m = Equal; next.Kind == Word || next.Kind == Quoted {
+				if m = Equal; next.Kind == sqltext.Word || next.Kind == sqltext.Quoted {
 					m = Joined
 				}
 			} else if next.Sign == '>' {
@@ -511,17 +541,17 @@
 			}
 			f.predicate(column, m, 0)
 			column = nil
-		case t.Kind == Word || t.Kind == Quoted:
+		case t.Kind == sqltext.Word || t.Kind == sqltext.Quoted:
 			names := []string{string(text)}
 			for l.Peek().Sign == '.' {
 				l.Next()
-				if next := l.Peek(); next.Kind != Word && next.Kind != Quoted {
+				if next := l.Peek(); next.Kind != sqltext.Word && next.Kind != sqltext.Quoted {
 					break
 				}
 				names = append(names, string(l.Bytes(l.Next())))
 			}
 			upper := ""
-			if t.Kind == Word && len(names) == 1 {
+			if t.Kind == sqltext.Word && len(names) == 1 {
 				upper = strings.ToUpper(names[0])
 			}
 			if first {
@@ -574,7 +604,7 @@
 					column = nil
 				}
 			case "LIMIT":
-				if next := l.Peek(); next.Kind == Number {
+				if next := l.Peek(); next.Kind == sqltext.Number {
 					f.limit([]string{string(l.Bytes(next))})
 				}
 			default:
--- a/internal/statement/parse.go
+++ b/internal/statement/parse.go
@@ -8,6 +8,8 @@
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
+
+	"magpiebank/internal/sqltext"
 )
 
 // The grammar is the analytic part of MySQL's language. Expressions are kept flat, terms and operators in turn, as
@@ -192,7 +194,7 @@
 }
 
 type tokens struct {
-	l    Lexer
+	l    sqltext.Lexer
 	last bool // the token before was a dot, so a word is a name
 }
 
@@ -204,24 +206,24 @@
 	t.last = tok.Sign == '.'
 	text := t.l.Bytes(tok)
 	switch tok.Kind {
-	case End:
+	case sqltext.End:
 		out.Type = lexer.EOF
 		return out, nil
-	case Word:
+	case sqltext.Word:
 		out.Type, out.Value = typeName, string(text)
 		if upper := strings.ToUpper(out.Value); !dot && keywords[upper] && !(callable[upper] && t.l.Peek().Sign == '(') {
 			out.Type, out.Value = typeKey, upper
 		}
-	case Quoted:
+	case sqltext.Quoted:
 		out.Type, out.Value = typeName, string(text)
-	case Text:
+	case sqltext.Text:
 		if tok.Open {
 			return out, errOpen
 		}
 		out.Type, out.Value = typeText, "'"+string(text)
-	case Number:
+	case sqltext.Number:
 		out.Type, out.Value = typeNumber, string(text)
-	case Hint:
+	case sqltext.Hint:
 		out.Type, out.Value = typeHint, string(text)
 	default:
 		out.Type, out.Value = typeSign, string(rune(tok.Sign))
@@ -250,10 +252,10 @@
 
 // parse reads a statement by the grammar.
 func parse(sql []byte) (*tree, error) {
-	l := Lexer{Text: sql}
+	l := sqltext.Lexer{Text: sql}
 	for n, depth := 0, 0; ; n++ {
 		t := l.Next()
-		if t.Kind == End {
+		if t.Kind == sqltext.End {
 			break
 		}
 		switch t.Sign {
@@ -270,7 +272,7 @@
 	if err != nil {
 		return nil, err
 	}
-	peeker, err := lexer.Upgrade(&tokens{l: Lexer{Text: sql}})
+	peeker, err := lexer.Upgrade(&tokens{l: sqltext.Lexer{Text: sql}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/statement/read_test.go
+++ b/internal/statement/read_test.go
@@ -97,18 +97,23 @@
 	book := NewBook(1<<20, 1, nil)
 	sql := []byte(short)
 	s := book.Look(sql, 17, 0)
-	book.Answered(s, 40, 64)
+	book.Answered(&s, 40, 64)
 	b.ReportAllocs()
 	for b.Loop() {
-		book.Estimate(book.Look(sql, 17, 0))
+		s := book.Look(sql, 17, 0)
+		book.Estimate(&s)
 	}
 }
 
 func TestWarmAllocatesNothing(t *testing.T) {
 	book := NewBook(1<<20, 1, nil)
 	sql := []byte(short)
-	book.Answered(book.Look(sql, 17, 0), 40, 64)
-	if n := testing.AllocsPerRun(100, func() { book.Estimate(book.Look(sql, 17, 0)) }); n != 0 {
+	s := book.Look(sql, 17, 0)
+	book.Answered(&s, 40, 64)
+	if n := testing.AllocsPerRun(100, func() {
+		s = book.Look(sql, 17, 0)
+		book.Estimate(&s)
+	}); n != 0 {
 		t.Errorf("%.0f allocations", n)
 	}
 }
@@ -131,17 +136,17 @@
 		book := NewBook(1<<20, 1, nil)
 		s := book.Look([]byte("SELECT a FROM t_1.m WHERE b = 1"), 1, 0)
 		for range 400 {
-			book.Answered(s, costs(r, 100, 0.7, 0.1), 0)
+			book.Answered(&s, costs(r, 100, 0.7, 0.1), 0)
 			answers++
 		}
 		alarms += book.Moved.Load()
-		if e := book.Estimate(s); seed == 0 && (e.Work < 70 || e.Work > 140 || e.Bad < 0.05 || e.Bad > 0.18 || e.Times < 8 || e.Upper < 1000) {
+		if e := book.Estimate(&s); seed == 0 && (e.Work < 70 || e.Work > 140 || e.Bad < 0.05 || e.Bad > 0.18 || e.Times < 8 || e.Upper < 1000) {
 			t.Errorf("after 400 answers: %+v", e)
 		}
 		before := book.Moved.Load()
 		n := 0
 		for ; n < 60 && book.Moved.Load() == before; n++ {
-			book.Answered(s, costs(r, 300, 0.7, 0.1), 0)
+			book.Answered(&s, costs(r, 300, 0.7, 0.1), 0)
 		}
 		if n <= 20 {
 			found++
@@ -163,14 +168,17 @@
 		look := fmt.Sprintf("SELECT a FROM t_%d.m WHERE k%d = 1", i%5, i)
 		scan := fmt.Sprintf("SELECT k%d, count(*) FROM t_%d.m GROUP BY k%d", i, i%5, i)
 		for range 5 {
-			book.Answered(book.Look([]byte(look), i%5, 0), costs(r, 50, 0.5, 0), 0)
+			s := book.Look([]byte(look), i%5, 0)
+			book.Answered(&s, costs(r, 50, 0.5, 0), 0)
 		}
 		if i%5 == 0 {
-			book.Answered(book.Look([]byte(scan), i%5, 0), costs(r, 2000, 0.5, 0), 0)
+			s := book.Look([]byte(scan), i%5, 0)
+			book.Answered(&s, costs(r, 2000, 0.5, 0), 0)
 		}
 	}
-	look := book.Estimate(book.Look([]byte("SELECT z FROM t_9.other WHERE y = 7"), 9, 0))
-	scan := book.Estimate(book.Look([]byte("SELECT z, count(*) FROM t_9.other GROUP BY z"), 9, 0))
+	one := book.Look([]byte("SELECT z FROM t_9.other WHERE y = 7"), 9, 0)
+	two := book.Look([]byte("SELECT z, count(*) FROM t_9.other GROUP BY z"), 9, 0)
+	look, scan := book.Estimate(&one), book.Estimate(&two)
 	if look.Answers != 0 || look.Work < 20 || look.Work > 150 || scan.Work < 600 || scan.Full != "t_9.other" || look.Full != "" {
 		t.Errorf("look-up %+v\nscan %+v", look, scan)
 	}
@@ -184,18 +192,18 @@
 	mean := 100.0
 	for range 30 {
 		for range 10 {
-			book.Answered(s, costs(r, mean, 0.2, 0), 0)
+			book.Answered(&s, costs(r, mean, 0.2, 0), 0)
 		}
-		if e := book.Estimate(s); e.Doubt {
+		if e := book.Estimate(&s); e.Doubt {
 			t.Fatal("in doubt after ten answers")
 		}
 		book.Loaded(1)
-		if e := book.Estimate(s); !e.Doubt {
+		if e := book.Estimate(&s); !e.Doubt {
 			t.Fatal("sure after a load")
 		}
 		mean *= 1.04
 	}
-	if e := book.Estimate(s); e.Work < 0.75*mean || e.Work > 1.3*mean {
+	if e := book.Estimate(&s); e.Work < 0.75*mean || e.Work > 1.3*mean {
 		t.Errorf("estimate %.0f, truth %.0f", e.Work, mean)
 	}
 }
@@ -327,7 +335,7 @@
 	book := NewBook(most, 1, nil)
 	for i := range 30000 {
 		s := book.Look([]byte(fmt.Sprintf("SELECT c%d FROM t_%d.m WHERE k%d = 1 GROUP BY c%d", i, i%7, i%11, i)), i%7, 0)
-		book.Answered(s, 50, 64)
+		book.Answered(&s, 50, 64)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
@@ -338,3 +346,6 @@
 	}
 	runtime.KeepAlive(book)
 }
+
+const short = `SELECT dia, count(*), max(nota) FROM actas_17.mesas WHERE clave = '3f9c2a' AND distrito IN (4, 8, 15, 16) AND nota > 3.5 ` +
+	`GROUP BY dia HAVING count(*) > 10 ORDER BY dia DESC LIMIT 20 /* some more words that nobody reads, so that it is as long as three hundred bytes are, as many are */`
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -37,7 +37,7 @@
 }
 
 const (
-	magic     = "MPTRACE\n"
+	Magic     = "MPTRACE\n" // what a trace begins with
 	version   = 1
 	headSize  = 24
 	blockHead = 16
@@ -62,7 +62,7 @@
 
 // NewWriter begins a trace.
 func NewWriter(w io.Writer, start time.Time) (*Writer, error) {
-	head := append(make([]byte, 0, headSize), magic...)
+	head := append(make([]byte, 0, headSize), Magic...)
 	head = binary.LittleEndian.AppendUint16(head, version)
 	head = binary.LittleEndian.AppendUint16(head, 0)
 	head = binary.LittleEndian.AppendUint64(head, uint64(start.UnixMicro()))
@@ -180,7 +180,7 @@
 		return nil, &Damage{0, "the head of a trace is not whole"}
 	}
 	switch sum := crc32.Checksum(head[:headSize-4], castagnoli); {
-	case string(head[:8]) != magic:
+	case string(head[:8]) != Magic:
 		return nil, &Damage{0, "this is no trace"}
 	case sum != binary.LittleEndian.Uint32(head[headSize-4:]):
 		return nil, &Damage{8, "the checksum of the head is wrong"}
