--- a/internal/statement/book.go
+++ b/internal/statement/book.go
@@ -291,7 +291,7 @@
 		b.watch(r, &s.literals, y)
 		place = r.place
 	})
-	if place > 0 && place <= s.literals.N {
+	if place > 0 && place <= s.literals.N*skewWays {
 		b.into(splitKey(key, &s.literals, place), loads, func(r *record) { r.learn(y, ms, memory, loads, &b.Moved) })
 	}
 	b.mu.Lock()
--- a/internal/statement/features.go
+++ b/internal/statement/features.go
@@ -250,9 +250,10 @@
 	if len(names) == 0 || len(f.Tables) >= mostTables {
 		return
 	}
-	t := Table{Name: names[len(names)-1], Alias: alias, Written: written}
+	// What is kept is copied, as it lies in the whole statement's text.
+	t := Table{Name: strings.Clone(names[len(names)-1]), Alias: strings.Clone(alias), Written: written}
 	if len(names) > 1 {
-		t.Schema = names[len(names)-2]
+		t.Schema = strings.Clone(names[len(names)-2])
 	}
 	f.Tables = append(f.Tables, t)
 }
@@ -261,7 +262,7 @@
 	if len(f.Predicates) >= mostPredicates || len(names) == 0 {
 		return
 	}
-	p := Predicate{Table: -1, Column: names[len(names)-1], Match: m}
+	p := Predicate{Table: -1, Column: strings.Clone(names[len(names)-1]), Match: m}
 	if len(names) > 1 {
 		q := names[len(names)-2]
 		for i := len(f.Tables) - 1; i >= 0; i-- {
@@ -542,7 +543,7 @@
 		f.value(e)
 	}
 	if v.Call != nil {
-		if v.Call.Over != nil {
+		if v.Call.Over != nil || v.Call.Named != "" {
 			f.Windows++
 		} else if aggregate(v.Name[len(v.Name)-1]) {
 			f.Aggregates++
@@ -648,12 +649,12 @@
 					f.limit([]string{string(l.Bytes(next))})
 				}
 			default:
-				if place && !keywords[upper] {
+				if place && keywords[upper] == "" {
 					f.table(names, "", f.Verb == Insert || f.Verb == Load)
 					place = false
 				} else if aggregate(names[len(names)-1]) && l.Peek().Sign == '(' {
 					f.Aggregates++
-				} else if !keywords[upper] {
+				} else if keywords[upper] == "" {
 					column = names
 				}
 			}
--- a/internal/statement/read_test.go
+++ b/internal/statement/read_test.go
@@ -367,7 +367,7 @@
 				}
 				return s, cost
 			}
-			for range 500 {
+			for range 700 {
 				literal := r.Intn(16)
 				if !skewed {
 					literal = r.Int()
--- a/internal/statement/skew.go
+++ b/internal/statement/skew.go
@@ -16,13 +16,15 @@
 }
 
 const (
-	skewPlaces = len(sqltext.Literals{}.Hash)
-	// A literal that costs more shares its group with one in sixteen of the others, which are then taken for dear.
-	skewGroups = 16
+	// Each literal is grouped in two ways: a dear one that shares its group with another is hidden by it, and 13 of 40 shapes
+	// with one dear literal of sixteen, of which another fell into its group, were split by one way alone.
+	skewWays   = 2
+	skewPlaces = skewWays * len(sqltext.Literals{}.Hash)
+	skewGroups = 64
 	skewBytes  = skewPlaces*skewGroups*6 + 32
-	// So many answers fall into each group on average, with a heavy literal in one of twenty, before it is judged; and
-	// when so many have come without a finding, no place explains the scatter.
-	skewFrom, skewUntil = 48, 400
+	// With so many answers a literal of one in twenty has come six times; and when so many have come without a finding, no
+	// place explains the scatter.
+	skewFrom, skewUntil = 128, 600
 	// A place must explain this part of the scatter (one dear literal of sixteen among bad plans explains four tenths), and
 	// so many times what chance would: bad plans, drawn anew each time, fall into groups by chance, and an F of five comes once
 	// in some ten thousand looks. Half of a deviation in logarithms is what a literal may matter and nobody would notice.
@@ -31,11 +33,15 @@
 	skewSpread = 0.5
 )
 
-func skewGroup(hash uint32) int { return int(hash*0x9e3779b1>>28) % skewGroups }
+// skewGroup is a literal's group by a place, from 0: which literal it is, and in which way it is grouped.
+func skewGroup(l *sqltext.Literals, place int) int {
+	times := [skewWays]uint32{0x9e3779b1, 0x85ebca6b}
+	return int(l.Hash[place/skewWays]*times[place%skewWays]>>26) % skewGroups
+}
 
 func (k *skew) add(l *sqltext.Literals, y float64) {
-	for p := range l.N {
-		g := skewGroup(l.Hash[p])
+	for p := range l.N * skewWays {
+		g := skewGroup(l, p)
 		k.n[p][g]++
 		k.sum[p][g] += float32(y)
 	}
@@ -77,10 +83,10 @@
 
 // splitKey is the key of the record for a literal's group.
 func splitKey(key uint64, l *sqltext.Literals, place int) uint64 {
-	if place > l.N {
+	if place > l.N*skewWays {
 		return key
 	}
-	return key ^ (uint64(place)<<8|uint64(skewGroup(l.Hash[place-1]))+1)*0xd6e8feb86659fd93
+	return key ^ (uint64(place)<<8|uint64(skewGroup(l, place-1))+1)*0xd6e8feb86659fd93
 }
 
 // watch takes an answer into the search for a literal that matters.
