The owner sits between fronts and carriers, and knows the protocol of neither

Need: tasks were known as MySQL sessions and hand-offs as writes on our own connections, so that a record of tasks, or another front, would have had to be written into the owner. Change: a task is a thing of its own; an asker is told its one final answer, a carrier brings its hand-offs to an engine; engine.go is parted into hand-offs, links and answers.

--- /dev/null
+++ b/internal/router/answer.go
@@ -0,0 +1,149 @@
+package router
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/mysql"
+	"magpiebank/internal/resp"
+)
+
+// nextAnswer reads until an engine's next answer is whole: its parts, which lie in the reader's buffer until its n
+// bytes are discarded. before is called each time that it may have to wait.
+func nextAnswer(r *bufio.Reader, parts [][]byte, before func()) (answer [][]byte, n int, err error) {
+	for {
+		b, _ := r.Peek(r.Buffered())
+		parts, n, err = resp.Parse(b, parts[:0])
+		if err == nil && n > 0 && len(parts) < 2 {
+			err = resp.ErrArray
+		}
+		if err != nil || n > 0 {
+			return parts, n, err
+		}
+		before()
+		if _, err = r.Peek(len(b) + 1); errors.Is(err, bufio.ErrBufferFull) {
+			err = resp.ErrArray
+		}
+		if err != nil {
+			return parts, 0, err
+		}
+	}
+}
+
+// answer takes in one answer: its id, its word, and fields and body where it has them. It tells whether it could
+// be read; where one can't, what follows on the connection is of no more use.
+func (l *link) answer(parts [][]byte) bool {
+	e := l.e
+	task := admission.TaskID(parts[0])
+	var fields, body []byte
+	if len(parts) > 2 {
+		fields = parts[2]
+	}
+	if len(parts) > 3 {
+		body = parts[3]
+	}
+	e.mu.Lock()
+	l.asked, l.heard = time.Time{}, time.Now()
+	h := l.open[task]
+	done := h == nil || h.done
+	undone := !done && h.undone
+	e.mu.Unlock()
+	word := string(parts[1])
+	switch {
+	case done: // it came too late, once more, or for nobody
+		return true
+	case undone: // only the word that it is known no more counts
+		if word == "failed" {
+			l.ended(h, admission.Errored)
+		}
+		return true
+	}
+	switch word {
+	case "news":
+		news, value, ok := resp.News(fields)
+		if ok {
+			e.o.tell(func(now admission.Time) { e.o.module.Noted(now, task, h.n, news, value) })
+		}
+	case "data":
+		return l.first(h, fields, body)
+	case "page":
+		n, err := strconv.Atoi(string(resp.Field(fields, "page")))
+		if h.pages == nil || err == nil && (n < 1 || n >= len(h.pages)) {
+			return true // not one that it was asked for
+		}
+		return err == nil && l.keep(h, n, body)
+	case "full":
+		l.ended(h, admission.Full)
+	case "moot":
+		l.ended(h, admission.Moot)
+	case "failed":
+		l.ended(h, admission.Errored)
+	default:
+		return false
+	}
+	return true
+}
+
+// By the protocol a result holds at most so many bytes, and a page of it so many.
+const (
+	mostResult = 48000
+	mostPage   = 6000
+	mostPages  = 64 // more than the longest result has, which pages break at rows
+)
+
+// first keeps the first page of a result and asks for the others at once.
+func (l *link) first(h *handOff, fields, body []byte) bool {
+	if h.pages != nil {
+		return true // once is enough
+	}
+	all, err := strconv.Atoi(string(resp.Field(fields, "pages")))
+	work, ok := resp.Amount(fields, "cost")
+	memory, too := resp.Amount(fields, "need")
+	if err != nil || all < 1 || all > mostPages || !ok || !too {
+		return false
+	}
+	h.work, h.needs = admission.Time(work*float64(admission.Millisecond)), memory
+	l.e.mu.Lock()
+	h.pages, h.missing = make([][]byte, all), all
+	l.e.mu.Unlock()
+	if !l.keep(h, 0, body) {
+		return false
+	}
+	if all > 1 {
+		l.write(func() net.Buffers {
+			var asks []byte
+			for n := 1; n < all; n++ {
+				asks = append(asks, resp.Array(nil, "page", string(h.task), strconv.Itoa(n))...)
+			}
+			return net.Buffers{asks}
+		})
+	}
+	return true
+}
+
+// keep puts a page into its place, if it is one. With the last one missing the result is whole.
+func (l *link) keep(h *handOff, n int, body []byte) bool {
+	if h.pages[n] != nil {
+		return true
+	}
+	if h.size += len(body); len(body) > mostPage || h.size > mostResult || !mysql.WholeRows(body) {
+		return false
+	}
+	h.pages[n] = append([]byte{}, body...)
+	if h.missing--; h.missing == 0 {
+		l.ended(h, admission.Delivered)
+	}
+	return true
+}
+
+// ended takes a hand-off that has its last answer off the connection.
+func (l *link) ended(h *handOff, how admission.Outcome) {
+	l.e.mu.Lock()
+	l.over(h)
+	l.e.mu.Unlock()
+	l.e.o.tellEnded(h, how)
+}
--- a/internal/router/desk.go
+++ b/internal/router/desk.go
@@ -30,22 +30,21 @@
 
 // sent notes a hand-off.
 func (o *owner) sent(h *handOff) {
-	if s := h.session; s.class > 0 {
-		h.class, h.threads = s.class, float64(o.site.Lanes[s.laneNumber].Threads)
-		h.charged = o.desk.Sent(s.foreseen, h.threads)
-		s.held = false
+	if t := h.of; t.class > 0 {
+		h.class, h.threads = t.class, float64(o.site.Lanes[t.lane].Threads)
+		h.charged = o.desk.Sent(t.foreseen, h.threads)
+		t.held = false
 	}
 }
 
 // back tells the module that a hand-off has ended, and before it what limits its class.
 func (o *owner) back(now admission.Time, h *handOff, how admission.Outcome, over bool, work admission.Time, memory float64) {
 	if h.class > 0 {
-		s := h.session
-		waits := !over && o.tasks[h.task] == s && s.taken == h.task
+		waits := !over && o.tasks[h.of.id] == h.of
 		o.desk.Back(h.class, h.threads, h.charged, work, waits)
 		if waits {
-			s.held = true
+			h.of.held = true
 		}
 	}
-	o.module.Ended(now, h.task, how, over, work, memory, admission.NoReport)
+	o.module.Ended(now, h.of.id, how, over, work, memory, admission.NoReport)
 }
--- /dev/null
+++ b/internal/router/handoff.go
@@ -0,0 +1,101 @@
+package router
+
+import (
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/resp"
+)
+
+// handOff is one hand-off of a task to an engine. The owner has n, over, again, doubt and stop; mu of the engine
+// guards what stands below state, which is its carrier's.
+type handOff struct {
+	of        *task
+	to        carrier
+	task      admission.TaskID // of's id
+	n         int
+	over      bool
+	again     bool              // it was never written on its first connection
+	doubt     admission.Outcome // what the module is told once it is given up; Delivered: nothing
+	stop      func()
+	lane      string
+	statement []byte
+	patience  admission.Time
+	memory    float64
+	state     atomic.Int32
+
+	// As the desk counts it.
+	class            int
+	threads, charged float64
+
+	rank    int
+	link    *link
+	rested  time.Duration // how long its connection was idle before
+	sent    time.Time
+	undone  bool
+	done    bool     // nothing that comes for it counts any more
+	pages   [][]byte // of the result, once its first page is there
+	missing int
+	size    int
+	work    admission.Time // as its first page tells, and the memory in MB
+	needs   float64
+}
+
+// The states of a hand-off on its way to the socket.
+const (
+	fresh int32 = iota
+	written
+	withdrawn
+)
+
+// withdraw keeps a hand-off that isn't written yet from being so.
+func (h *handOff) withdraw() bool { return h.state.CompareAndSwap(fresh, withdrawn) }
+
+// undo gives a hand-off up, or the pages of its result that are still to come.
+func (h *handOff) undo() {
+	l := h.link
+	l.e.mu.Lock()
+	open := l.open[h.task] == h && !h.undone && !h.done && h.state.Load() == written
+	if h.undone = true; open && l.asked.IsZero() {
+		l.asked = time.Now()
+		l.arm()
+	} else if h.state.Load() == withdrawn {
+		l.over(h)
+	}
+	word := "undo"
+	if h.pages != nil {
+		word = "forget"
+	}
+	l.e.mu.Unlock()
+	if open { // nothing answers this, but a page that the engine doesn't know is failed: then it has heard it
+		l.write(func() net.Buffers {
+			return net.Buffers{resp.Array(nil, word, string(h.task)), resp.Array(nil, "page", string(h.task), "1")}
+		})
+	}
+}
+
+// bump gives a hand-off another rank.
+func (h *handOff) bump(rank int) {
+	l := h.link
+	l.e.mu.Lock()
+	h.rank = rank
+	open := l.open[h.task] == h && !h.done && h.state.Load() == written
+	l.e.mu.Unlock()
+	if open {
+		l.say("bump", string(h.task), strconv.Itoa(rank))
+	}
+}
+
+// forget drops what was kept to tell late answers; the task is over, and its id doesn't come again.
+func (h *handOff) forget() {
+	l := h.link
+	l.e.mu.Lock()
+	if l.open[h.task] == h {
+		l.over(h)
+		delete(l.open, h.task)
+	}
+	l.e.mu.Unlock()
+}
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -7,12 +7,12 @@
 // host is what the module's decisions act on.
 type host struct{ o *owner }
 
-func (a host) HandOff(task admission.TaskID, name admission.EngineID, patience admission.Time) {
-	s, e := a.o.tasks[task], a.o.engines[name]
-	h := &handOff{session: s, task: task, n: s.tries, lane: s.lane, statement: s.statement,
-		patience: patience, memory: s.memory, rank: s.rank}
-	s.tries++
-	s.out = h
+func (a host) HandOff(id admission.TaskID, name admission.EngineID, patience admission.Time) {
+	t, e := a.o.tasks[id], a.o.engines[name]
+	h := &handOff{of: t, to: e, task: id, n: t.tries, lane: t.name, statement: t.statement, patience: patience, memory: t.memory,
+		rank: t.rank}
+	t.tries++
+	t.out = h
 	h.stop = a.o.clock.After(patience, func() {
 		a.o.tellEnded(h, admission.TimedOut)
 	})
@@ -21,34 +21,32 @@
 		a.o.tellEnded(h, admission.Unreachable)
 		return
 	}
-	s.mail.put(func() {
-		s.made = append(s.made, h)
-		e.send(h)
-	})
+	t.by.carry(h, e)
 }
 
-func (a host) Cancel(task admission.TaskID, n int) {
-	if s := a.o.tasks[task]; s != nil && s.out != nil && s.out.n == n {
-		h := s.out
-		a.o.tellEnded(h, admission.Cancelled)
+func (a host) Cancel(id admission.TaskID, n int) {
+	if t := a.o.tasks[id]; t != nil && t.out != nil && t.out.n == n {
+		a.o.tellEnded(t.out, admission.Cancelled)
 	}
 }
 
-func (a host) Nack(task admission.TaskID, comeBack admission.Time) {
-	s := a.o.tasks[task]
-	a.o.answer(s, func() { s.nack(int64(comeBack / admission.Millisecond)) })
+func (a host) Nack(id admission.TaskID, comeBack admission.Time) {
+	t := a.o.tasks[id]
+	a.o.answered(t)
+	t.by.nacked(comeBack)
 }
 
-func (a host) WriteOff(task admission.TaskID) {
-	s := a.o.tasks[task]
-	a.o.answer(s, s.writeOff)
+func (a host) WriteOff(id admission.TaskID) {
+	t := a.o.tasks[id]
+	a.o.answered(t)
+	t.by.writtenOff()
 }
 
-func (a host) Terms(task admission.TaskID, memory float64, rank int) {
-	s := a.o.tasks[task]
-	s.memory, s.rank = memory, rank
-	if h := s.out; h != nil {
-		s.mail.put(func() { h.bump(rank) })
+func (a host) Terms(id admission.TaskID, memory float64, rank int) {
+	t := a.o.tasks[id]
+	t.memory, t.rank = memory, rank
+	if h := t.out; h != nil {
+		t.by.do(func() { h.bump(rank) })
 	}
 }
 
@@ -60,10 +58,7 @@
 		})
 		return
 	}
-	select {
-	case e.bell <- struct{}{}:
-	default: // one is under way
-	}
+	e.probe()
 }
 
 // Subscribe has nothing to do: the engine list is followed from the start.
--- /dev/null
+++ b/internal/router/link.go
@@ -0,0 +1,235 @@
+package router
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/resp"
+)
+
+// link is a connection for hand-offs.
+type link struct {
+	e       *engine
+	open    map[admission.TaskID]*handOff // until their tasks are over, as late answers and second copies may come
+	out     int                           // of those, without a last answer
+	waiting []*handOff                    // until it is up
+	tcp     net.Conn
+	used    time.Time
+	heard   time.Time // when an answer came, or the first hand-off went out on it
+	asked   time.Time // when an undo went out; zero once anything is heard
+	begun   time.Time // when an answer was there in part; zero: none is
+	writing sync.Mutex
+}
+
+// silent tells of a connection on which nothing came after an undo, not even the word that it was heard: the
+// machine behind it may be gone without a sign, and a new connection tells that sooner than a time-out.
+func (l *link) silent() bool {
+	return !l.asked.IsZero() && time.Since(l.asked) > l.e.o.network.ConnectWithin
+}
+
+// arm sets the time until which the connection may bring nothing. An answer that is there in part, or the word that
+// an undo was heard, has as long as a connection to come up. A hand-off that isn't over brings notes at the engine's
+// pace, which scatters by half of it: after twice the pace its answer is lost, and with it the connection. Else it
+// rests until the engine would close it; one to a retired engine does not.
+func (l *link) arm() {
+	if l.tcp == nil {
+		return
+	}
+	n, now := l.e.o.network, time.Now()
+	by := now.Add(l.e.o.idleAfter())
+	if l.out == 0 {
+		by = l.used.Add(l.e.fresh())
+	}
+	sooner := func(t time.Time, d time.Duration, ok bool) {
+		if ok && t.Add(d).Before(by) {
+			by = t.Add(d)
+		}
+	}
+	sooner(now, 0, l.out == 0 && l.e.retired)
+	sooner(l.heard, 2*n.Pace, l.out > 0 && n.Pace > 0)
+	sooner(l.asked, n.ConnectWithin, !l.asked.IsZero())
+	sooner(l.begun, n.ConnectWithin, !l.begun.IsZero())
+	l.tcp.SetReadDeadline(by)
+}
+
+func (l *link) do(h *handOff) {
+	l.e.mu.Lock()
+	rank := h.rank
+	l.e.mu.Unlock()
+	l.write(func() net.Buffers {
+		if !h.state.CompareAndSwap(fresh, written) {
+			return nil
+		}
+		return resp.Do(make([]byte, 0, 256), string(h.task), h.lane, max(1, int64(h.patience/admission.Millisecond)),
+			h.memory, rank, h.statement)
+	})
+}
+
+// write gathers buffers into the connection. One that takes no more within the time in which connections come
+// up is given up, and its reader ends it.
+func (l *link) write(make func() net.Buffers) {
+	l.writing.Lock()
+	defer l.writing.Unlock()
+	if buffers := make(); buffers != nil {
+		l.tcp.SetWriteDeadline(time.Now().Add(l.e.o.network.ConnectWithin))
+		if _, err := buffers.WriteTo(l.tcp); err != nil {
+			l.tcp.Close()
+		}
+	}
+}
+
+func (l *link) say(words ...string) {
+	l.write(func() net.Buffers { return net.Buffers{resp.Array(nil, words...)} })
+}
+
+// over counts a hand-off out that has its last answer or needs none.
+func (l *link) over(h *handOff) {
+	if !h.done {
+		h.done = true
+		l.out--
+		l.used = time.Now()
+	}
+}
+
+// crossing is how long the protocol lets a request cross a close.
+const crossing = 50 * time.Millisecond
+
+// serve dials the connection, writes what waited for it and reads answers until it ends.
+func (l *link) serve() {
+	e := l.e
+	code, err := "panic", error(nil)
+	defer func() {
+		fault := recover()
+		e.mu.Lock()
+		left := l.out
+		var open, unwritten []*handOff
+		for _, h := range l.open {
+			switch {
+			case h.done:
+			case h.withdraw():
+				unwritten = append(unwritten, h)
+			default:
+				open = append(open, h)
+			}
+		}
+		up := l.tcp != nil
+		l.open, l.out = nil, 0
+		e.links = slices.DeleteFunc(e.links, func(k *link) bool { return k == l })
+		e.mu.Unlock()
+		e.o.engineLinks.Add(-1)
+		for _, h := range unwritten { // proof that nothing ran
+			switch {
+			case up:
+				e.o.tell(func(now admission.Time) { e.o.again(now, h) })
+			case ours(err):
+				e.o.tellEnded(h, admission.Moot)
+			default:
+				e.o.tellEnded(h, admission.Unreachable)
+			}
+		}
+		how := admission.Reset
+		if code == "bad_answer" || code == "cut_short" || code == "mute" {
+			how = admission.Lost
+			if len(open) > 0 {
+				time.Sleep(crossing) // the engine hears of the close before another one hears of the task
+			}
+		}
+		for _, h := range open {
+			if how == admission.Reset && e.stale(h) {
+				how = admission.Lost
+			}
+			e.o.tellEnded(h, how)
+			how = admission.Lost // one event is one doubt
+		}
+		e.o.connectionEnded("engine", string(e.name), code, left, fault)
+	}()
+	tcp, err := net.DialTimeout("tcp", e.address, e.o.network.ConnectWithin)
+	if err != nil {
+		code = endCode(err)
+		return
+	}
+	defer tcp.Close()
+	e.mu.Lock()
+	l.tcp, l.heard = tcp, time.Now()
+	waiting := l.waiting
+	l.waiting = nil
+	e.mu.Unlock()
+	for _, h := range waiting {
+		l.do(h)
+	}
+	code = l.read()
+}
+
+// ours tells of a dial that failed for want of something here.
+func ours(err error) bool {
+	for _, want := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, want) {
+			return true
+		}
+	}
+	return false
+}
+
+// read takes in answers until the connection ends, has been idle, or brings nothing where it should.
+func (l *link) read() (code string) {
+	r := bufio.NewReaderSize(l.tcp, resp.MostArray)
+	var parts [][]byte
+	last := false // look: its time is over, but what came while this process stood still counts
+	for {
+		var n int
+		var err error
+		parts, n, err = nextAnswer(r, parts, func() {
+			l.e.mu.Lock()
+			defer l.e.mu.Unlock()
+			if l.begun = (time.Time{}); r.Buffered() > 0 {
+				l.begun = time.Now()
+			}
+			if l.arm(); last {
+				l.tcp.SetReadDeadline(time.Now().Add(lastLook))
+			}
+		})
+		switch {
+		case err == nil:
+			last = false
+			if !l.answer(parts) {
+				return "bad_answer"
+			}
+			r.Discard(n)
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return endCode(err)
+		case last:
+			if code := l.rest(); code != "" {
+				return code
+			}
+			last = false
+		default:
+			last = true
+		}
+	}
+}
+
+// rest takes a connection whose time is over out of use, and tells why; empty: it was used meanwhile.
+func (l *link) rest() (code string) {
+	l.e.mu.Lock()
+	defer l.e.mu.Unlock()
+	n := l.e.o.network
+	switch {
+	case !l.begun.IsZero():
+		code = "cut_short"
+	case l.silent() || l.out > 0 && n.Pace > 0 && time.Since(l.heard) >= 2*n.Pace:
+		code = "mute"
+	case l.out == 0 && (l.e.retired || time.Since(l.used) >= l.e.fresh()):
+		code = "idle"
+	default:
+		return ""
+	}
+	l.e.links = slices.DeleteFunc(l.e.links, func(k *link) bool { return k == l })
+	return code
+}
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -31,9 +31,10 @@
 
 	now      admission.Time
 	module   *admission.Router
-	sessions map[uint32]*session           // by connection id
-	tasks    map[admission.TaskID]*session // taken and without a final answer
-	engines  map[admission.EngineID]*engine
+	tasks    map[admission.TaskID]*task // taken and without a final answer
+	engines  map[admission.EngineID]carrier
+	carrier  func(name admission.EngineID, address string) carrier // makes one for an engine
+	sessions map[uint32]*session                                   // of the MySQL front, by connection id
 }
 
 // ownDescriptors is what the process holds besides connections of clients and engines: its streams, the poller's,
@@ -42,8 +43,9 @@
 
 func newOwner(start *deployment.Start, clock Clock, log *slog.Logger) *owner {
 	o := &owner{clock: clock, inbox: newMailbox(), log: log, network: start.Network, site: start.Site, now: clock.Now(),
-		sessions: map[uint32]*session{}, tasks: map[admission.TaskID]*session{},
-		engines: map[admission.EngineID]*engine{}}
+		sessions: map[uint32]*session{}, tasks: map[admission.TaskID]*task{},
+		engines: map[admission.EngineID]carrier{}}
+	o.carrier = func(name admission.EngineID, address string) carrier { return newEngine(o, name, address) }
 	// Clients have what engines, which get a third, and the process itself leave of the descriptors; by the
 	// protocol they hold a third, so what they have more is for those that should not be there.
 	if o.engineRoom = math.MaxInt64; start.Sockets > 0 {
@@ -96,13 +98,13 @@
 	}
 	for i, l := range list {
 		e := o.engines[l.Engine]
-		if e != nil && (l.State == admission.Gone || addresses[i] != "" && e.address != addresses[i]) {
+		if e != nil && (l.State == admission.Gone || addresses[i] != "" && e.where() != addresses[i]) {
 			e.retire() // what is out there ends by itself
 			delete(o.engines, l.Engine)
 			e = nil
 		}
 		if e == nil && l.State != admission.Gone {
-			o.engines[l.Engine] = newEngine(o, l.Engine, addresses[i])
+			o.engines[l.Engine] = o.carrier(l.Engine, addresses[i])
 		}
 	}
 	if o.desk != nil {
@@ -111,31 +113,27 @@
 	o.module.Listed(now, form, list)
 }
 
-// arrived takes a session's query as a task.
-func (o *owner) arrived(now admission.Time, s *session, task admission.TaskID, lane int, cutoff admission.Time,
-	tables int) {
-	if o.tasks[task] != nil || o.module.Knows(task) { // a killed one is known until its hand-off ends
-		s.mail.put(func() { s.refuse("the id is in use") })
+// arrived takes a task in.
+func (o *owner) arrived(now admission.Time, t *task) {
+	if o.tasks[t.id] != nil || o.module.Knows(t.id) { // a killed one is known until its hand-off ends
+		t.by.refused("the id is in use")
 		return
 	}
-	var f admission.Foreseen
 	if o.desk != nil {
-		var crowded bool
-		var refuse string
-		switch f, crowded, refuse = o.desk.Arrived(s.reader); {
+		f, crowded, refuse := o.desk.Arrived(t.reader)
+		switch {
 		case refuse != "":
-			s.mail.put(func() { s.barred(refuse) })
+			t.by.barred(refuse)
 			return
 		case crowded:
-			s.mail.put(func() { s.nack(int64(o.site.ComeBack / admission.Millisecond)) })
+			t.by.nacked(o.site.ComeBack)
 			return
 		}
-		s.foreseen, s.laneNumber = f, lane
-		s.class, s.held = f.Class, f.Class > 0
+		t.foreseen, t.class, t.held = f, f.Class, f.Class > 0
 	}
-	o.tasks[task], s.taken = s, task
-	s.cutoff, s.tries, s.out, s.memory, s.rank = cutoff, 0, nil, 0, 1
-	o.module.Arrived(now, task, cutoff, lane, 0, "", tables, f)
+	o.tasks[t.id] = t
+	t.rank = 1
+	o.module.Arrived(now, t.id, t.cutoff, t.lane, 0, "", t.tables, t.foreseen)
 }
 
 // tellEnded queues the end of a hand-off.
@@ -151,23 +149,21 @@
 	}
 	h.over = true
 	h.stop()
-	s := h.session
-	s.out = nil
+	t := h.of
+	t.out = nil
 	var work admission.Time
 	var memory float64
 	switch how {
 	case admission.Delivered:
 		work, memory = h.work, h.needs
-		if o.tasks[h.task] == s {
-			o.answer(s, func() {
-				s.deliver(h.pages)
-				s.learn(h)
-			})
+		if o.tasks[t.id] == t {
+			o.answered(t)
+			t.by.delivered(h)
 		}
 	case admission.TimedOut, admission.Cancelled:
-		if s.mail.put(h.undo); !h.withdraw() {
+		if t.by.do(h.undo); !h.withdraw() {
 			h.doubt = how
-			h.stop = o.clock.After(o.undoWithin(now, s), func() {
+			h.stop = o.clock.After(o.undoWithin(now, t), func() {
 				o.tell(func(now admission.Time) { o.givenUp(now, h) })
 			})
 			return
@@ -186,14 +182,14 @@
 	}
 	h.again = true
 	h.state.Store(fresh)
-	h.session.mail.put(func() { h.link.e.send(h) })
+	h.of.by.do(func() { h.to.send(h) })
 }
 
 // undoWithin is how long to wait for an engine's word that a hand-off is given up there: a further one that
 // overtook the undo on another connection would be a second copy. It is as long as a connection may take to
 // come up, and never past the cut-off, after which nothing is sent.
-func (o *owner) undoWithin(now admission.Time, s *session) admission.Time {
-	return max(0, min(admission.Time(o.network.ConnectWithin/tenth), s.cutoff-now))
+func (o *owner) undoWithin(now admission.Time, t *task) admission.Time {
+	return max(0, min(admission.Time(o.network.ConnectWithin/tenth), t.cutoff-now))
 }
 
 // givenUp tells the module of a hand-off that was called off or timed out, once the engine has heard of it.
@@ -205,26 +201,21 @@
 	}
 }
 
-// answer gives a task its final answer.
-func (o *owner) answer(s *session, write func()) {
-	delete(o.tasks, s.taken)
-	s.taken = ""
-	if s.held {
-		s.held = false
-		o.desk.Left(s.class)
+// answered forgets a task that is given its final answer.
+func (o *owner) answered(t *task) {
+	delete(o.tasks, t.id)
+	if t.held {
+		t.held = false
+		o.desk.Left(t.class)
 	}
-	s.mail.put(write)
 }
 
-// killed ends the task of the session whose client stopped waiting.
-func (o *owner) killed(now admission.Time, connection uint32) {
-	s := o.sessions[connection]
-	if s == nil || s.taken == "" {
-		return
-	}
-	o.module.ClientGone(now, s.taken)
-	if s.out != nil { // nobody waits for it, so its patience is over
-		o.ended(now, s.out, admission.Cancelled)
+// left ends a task for which nobody waits any more.
+func (o *owner) left(now admission.Time, t *task) {
+	o.module.ClientGone(now, t.id)
+	if t.out != nil { // so its patience is over
+		o.ended(now, t.out, admission.Cancelled)
 	}
-	o.answer(s, s.leave)
+	o.answered(t)
+	t.by.left()
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -899,10 +899,11 @@
 				o.listed(now, admission.Form(rng.Intn(3)), l, []string{"127.0.0.1:1", "127.0.0.1:2"})
 			case 2, 3:
 				c := uint32(rng.Intn(20))
-				if o.sessions[c] == nil || o.sessions[c].taken == "" {
-					o.sessions[c] = &session{o: o, connection: c, mail: newMailbox()}
-					id := admission.TaskID(fmt.Sprint(rng.Intn(30)))
-					o.arrived(now, o.sessions[c], id, rng.Intn(2), now+admission.Second, 0)
+				if o.sessions[c] == nil || o.sessions[c].taken == nil {
+					k := &session{o: o, connection: c, mail: newMailbox()}
+					o.sessions[c] = k
+					k.taken = &task{id: admission.TaskID(fmt.Sprint(rng.Intn(30))), by: k, lane: rng.Intn(2), cutoff: now + admission.Second}
+					o.arrived(now, k.taken)
 				}
 			case 4:
 				o.killed(now, uint32(rng.Intn(25)))
@@ -918,7 +919,10 @@
 				o.module.Due(now)
 			}
 			for _, c := range o.sessions {
-				if h := c.out; h != nil && !slices.Contains(out, h) {
+				if c.taken == nil {
+					continue
+				}
+				if h := c.taken.out; h != nil && !slices.Contains(out, h) {
 					h.state.Store([]int32{fresh, written}[n%2])
 					out = append(out, h)
 				}
@@ -965,7 +969,7 @@
 	answer(k, "bb")
 	fresh := make(chan time.Duration)
 	s.o.tell(func(admission.Time) {
-		engine := s.o.engines["e1"]
+		engine := s.o.engines["e1"].(*engine)
 		engine.mu.Lock()
 		defer engine.mu.Unlock()
 		fresh <- engine.fresh()
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -27,7 +27,7 @@
 	code       string // why it ends; empty: it doesn't
 	dismissed  bool   // and it is the client's fault, who was told so
 	began      time.Time
-	refused    int       // answers in a row to what is no query of the protocol
+	odd        int       // answers in a row to what is no query of the protocol
 	lastID     [16]byte  // of the query before
 	turns      int       // queries refused or given up in a row
 	turnedAway time.Time // and when the last was
@@ -38,26 +38,14 @@
 	asked     bool // it has had an answer to a command
 	displaced bool
 
-	// The task in hand, set before it is queued.
-	lane      string
-	statement []byte
-	answerBy  time.Time // when a client that stopped waiting closes
-	waiting   bool
-	made      []*handOff
-
-	// The owner's part of it.
-	taken  admission.TaskID // empty: none
-	cutoff admission.Time
-	tries  int
-	out    *handOff
-	memory float64
-	rank   int
-
-	reader     Reader // nil: statements are not read
-	foreseen   admission.Foreseen
-	class      int  // of the desk's; 0: none
-	held       bool // in a class, with no hand-off out
-	laneNumber int
+	// The task in hand.
+	answerBy time.Time // when a client that stopped waiting closes
+	waiting  bool
+	made     []*handOff
+
+	reader Reader // nil: statements are not read
+
+	taken *task // the owner's; nil: none
 }
 
 const (
@@ -215,7 +203,7 @@
 // amiss answers what is no query of the protocol.
 func (s *session) amiss(code uint16, text string) {
 	s.turnAway()
-	if s.refused++; s.refused >= mostRefused {
+	if s.odd++; s.odd >= mostRefused {
 		s.dismiss("no_protocol", code, text)
 		return
 	}
@@ -276,18 +264,19 @@
 		return
 	}
 	copy(s.lastID[:], id)
-	s.refused = 0
-	task := admission.TaskID(id)
-	s.lane, s.statement = s.o.network.Lanes[lane], statement
+	s.odd = 0
+	t := &task{id: admission.TaskID(id), by: s, lane: lane, name: s.o.network.Lanes[lane], statement: statement,
+		tables: mysql.Tables(statement), reader: s.reader}
 	s.answerBy = time.Now().Add(time.Duration(waitMS)*time.Millisecond + afterCutoff)
 	s.waiting = true
-	tables := mysql.Tables(statement)
 	if s.reader != nil {
-		s.reader.Read(statement, lane, tables)
+		s.reader.Read(statement, lane, t.tables)
 	}
-	s.o.tape.Task(s.lane, tables, waitMS, sql, statement)
+	s.o.tape.Task(t.name, t.tables, waitMS, sql, statement)
 	s.o.tell(func(now admission.Time) {
-		s.o.arrived(now, s, task, lane, now+admission.Time(waitMS)*admission.Millisecond, tables)
+		t.cutoff = now + admission.Time(waitMS)*admission.Millisecond
+		s.taken = t
+		s.o.arrived(now, t)
 	})
 	for s.waiting {
 		<-s.mail.wake
@@ -306,6 +295,47 @@
 	return len(next) > 0 && !(len(next) == mysql.HeadSize+1 && next[mysql.HeadSize] == mysql.Quit)
 }
 
+// killed ends the task of the session whose client stopped waiting.
+func (o *owner) killed(now admission.Time, connection uint32) {
+	if s := o.sessions[connection]; s != nil && s.taken != nil {
+		o.left(now, s.taken)
+	}
+}
+
+// What the owner tells it; the calls that write are made by the session's goroutine.
+
+func (s *session) do(call func()) { s.mail.put(call) }
+
+func (s *session) carry(h *handOff, to carrier) {
+	s.mail.put(func() {
+		s.made = append(s.made, h)
+		to.send(h)
+	})
+}
+
+// over has a call be the last of a task.
+func (s *session) over(call func()) {
+	s.taken = nil
+	s.mail.put(call)
+}
+
+func (s *session) delivered(h *handOff) {
+	s.over(func() {
+		s.deliver(h.pages)
+		if s.reader != nil {
+			s.reader.Answered(h.work, h.needs)
+		}
+	})
+}
+
+func (s *session) nacked(comeBack admission.Time) {
+	s.over(func() { s.nack(int64(comeBack / admission.Millisecond)) })
+}
+func (s *session) writtenOff()        { s.over(s.writeOff) }
+func (s *session) barred(why string)  { s.over(func() { s.bar(why) }) }
+func (s *session) refused(why string) { s.over(func() { s.refuse(why) }) }
+func (s *session) left()              { s.over(s.leave) }
+
 // deliver writes a result.
 func (s *session) deliver(pages [][]byte) {
 	s.waiting, s.turns = false, 0
@@ -324,15 +354,8 @@
 	s.write(head, rows, mysql.EOF(nil, number))
 }
 
-// learn has the reader know what the statement cost.
-func (s *session) learn(h *handOff) {
-	if s.reader != nil {
-		s.reader.Answered(h.work, h.needs)
-	}
-}
-
-// barred gives a task the final answer that an operator's rule has for it.
-func (s *session) barred(why string) {
+// bar gives a task the final answer that an operator's rule has for it.
+func (s *session) bar(why string) {
 	s.waiting = false
 	s.turnAway()
 	s.write(mysql.Error(nil, s.number+1, mysql.ErrBarred, why))
