--- a/cmd/magpielab/experiment.go
+++ b/cmd/magpielab/experiment.go
@@ -143,7 +143,7 @@
 	c := &cobra.Command{Use: "experiment", Short: "Experiments that are built in"}
 	list := &cobra.Command{Use: "list", Short: "List the built-in experiments", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			for _, name := range append(experiment.Names(), "clock-jumps", "starved", "statements") {
+			for _, name := range append(experiment.Names(), "clock-jumps", "starved", "statements", "restart") {
 				fmt.Fprintln(c.OutOrStdout(), name)
 			}
 			return nil
@@ -151,6 +151,7 @@
 	var o output
 	var repeat int
 	var seed int64
+	var without bool
 	run := &cobra.Command{Use: "run NAME", Short: "Run a built-in experiment; status 1 when a bound is missed", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			switch args[0] {
@@ -158,6 +159,8 @@
 				return clockJumps(c, &o)
 			case "starved":
 				return starved(c, &o)
+			case "restart":
+				return restarts(c, &o, seed, without)
 			case "statements":
 				return statementsExperiment(c, &o, seed)
 			}
@@ -165,7 +168,8 @@
 		}}
 	o.flags(run)
 	run.Flags().IntVar(&repeat, "repeat", 1, "how many times, with seeds one after the other")
-	run.Flags().Int64Var(&seed, "seed", 101, "of statements: which statements and costs are drawn")
+	run.Flags().Int64Var(&seed, "seed", 101, "of statements and restart: what is drawn")
+	run.Flags().BoolVar(&without, "without-state", false, "of restart: keep no record, for what that is like")
 	c.AddCommand(list, run)
 	return c
 }
--- /dev/null
+++ b/cmd/magpielab/restart.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"magpiebank/internal/load/experiment"
+	"magpiebank/internal/load/restart"
+)
+
+// restarts kills a gateway with a record of its tasks a hundred times under load.
+func restarts(c *cobra.Command, o *output, seed int64, without bool) error {
+	if o.folder == "" {
+		o.folder = experiment.Folder("restart")
+	}
+	if err := os.MkdirAll(o.folder, 0o755); err != nil {
+		return err
+	}
+	r, err := restart.Run(c.Context(), restart.Plan{Program: o.gateway, Folder: o.folder, Kills: 100, Loads: 24, Looks: 8, Seed: seed, Without: without})
+	if err != nil {
+		return err
+	}
+	if o.json {
+		out := json.NewEncoder(c.OutOrStdout())
+		out.SetIndent("", " ")
+		err = out.Encode(r)
+	} else {
+		r.Text(c.OutOrStdout())
+	}
+	if err == nil && !r.Good() {
+		err = errMissed
+	}
+	return err
+}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -41,9 +41,10 @@
 	busy       float64 // of engines by their latest reports: what one without a fresh report counts as
 	bestPrice  float64 // of a usual task of the best lane
 	pools      []pool
-	gate       Gate // of tasks that have a class
-	askAt      Time // when to ask for the list again; 0: not
-	ticked     Time // when the timer last went off
+	gate       Gate    // of tasks that have a class
+	recalled   *Memory // of a process before this one; nil: there is none
+	askAt      Time    // when to ask for the list again; 0: not
+	ticked     Time    // when the timer last went off
 }
 
 // tick is the timer's pace: a held task is given up at most this late, well within the answer's slack.
@@ -87,6 +88,54 @@
 // Guard hands over what an operator's classes allow, before the first task that has one.
 func (r *Router) Guard(g Gate) { r.gate = g }
 
+// Recall has it go on from what a process before it knew, told before the first delivery of the list. Old
+// figures count for less. What that process did after it wrote this down is not known: so within twice the
+// window the ration counts as used up, and this turn at cold engines as spent: two processes must not do
+// together what one may not.
+func (r *Router) Recall(now Time, m *Memory) {
+	const half = 60 * Second // after which what was learned of lanes counts half: mixes change by the minute
+	r.now, r.recalled = now, m
+	weight := math.Exp2(-float64(max(0, now-m.At)) / float64(half))
+	for i := range m.Lanes {
+		if l := &m.Lanes[i]; len(m.Lanes) == len(r.lanes) && l.Work > 0 && l.Run > 0 && l.Ease > 0 {
+			r.lanes[i] = learned{run: l.Run, work: l.Work, memory: l.Memory, answers: l.Answers * weight,
+				tasks: l.Tasks * weight, ease: l.Ease, rank: 1}
+		}
+	}
+	if m.Ran > 0 && m.Asked > 0 && m.Usual > 0 {
+		r.ran, r.asked, r.usual, r.busy = m.Ran, m.Asked, m.Usual, m.Busy
+	}
+	r.pools[0].bar = m.Bar * weight
+	for _, s := range m.Takes {
+		if r.takes != nil {
+			r.takes[s.Index%(spans+1)] = span{index: s.Index, taken: s.Taken, extra: s.Extra}
+		}
+	}
+	if s := r.span(); s != nil && now-m.At < 2*r.d.ExtraSpan {
+		taken, extra := r.window(s)
+		s.extra += max(0, r.d.ExtraFree+r.d.ExtraShare*taken-extra)
+	}
+	for _, k := range m.Rests {
+		r.turns[k.Key] = turn{rest: k.Rest}
+	}
+}
+
+// recall has an engine begin as it was last known, if it has not been started again since: its bound from
+// where it stood, less the longer ago; its report and its distrust with their age.
+func (r *Router) recall(e *engine) {
+	const old = 10 * Second // by then a bound has been stepped to somewhere else
+	for i := range r.recalled.Engines {
+		if m := &r.recalled.Engines[i]; m.Engine == e.Engine && m.Since == e.Since {
+			e.bound += (m.Bound - e.bound) * max(0, 1-float64(r.now-r.recalled.At)/float64(old))
+			e.util, e.report, e.reportAt = m.Util, m.Report, m.ReportAt
+			e.distrust, e.distrustAt = m.Distrust, m.DistrustAt
+			if r.isCold(e) {
+				e.coldAt, e.cold = r.now/(2*r.d.TipAfter), math.Inf(1)
+			}
+		}
+	}
+}
+
 // Listed takes in a delivery of the engine list.
 func (r *Router) Listed(now Time, form Form, list []Listing) {
 	r.now = now
@@ -116,6 +165,9 @@
 			// Two threads a core over the gateways, the signal's own threshold: in a large fleet below a query.
 			e.bound = threshold * e.cores / float64(r.d.Gateways)
 			e.distrust, e.report, e.reportAt = 0, NoReport, now
+			if r.recalled != nil && !known {
+				r.recall(e)
+			}
 			e.probedAt = now - fastestProbe - Time(r.rng.Int63n(int64(Second))) // each router in its own order
 		}
 	}
@@ -140,6 +192,7 @@
 	i := r.seat(task{id: id, lane: lane, tenant: tenant, tables: tables, arrived: now, cutoff: cutoff,
 		Foreseen: f, seq: r.seq, engine: none, rank: 1})
 	t := &r.tasks[i]
+	t.mayRan, t.doubtAt, t.doubtZone, t.doubtGroup = f.Past.MayRan, f.Past.DoubtAt, f.Past.Zone, f.Past.Group
 	length := r.lanes[lane].work
 	if f.Work > 0 {
 		length = float64(f.Work)
@@ -149,6 +202,10 @@
 	if s := r.span(); s != nil {
 		s.taken++
 	}
+	if !r.mayRepeat(t) {
+		r.giveUp(i) // a process before this one had sent it
+		return
+	}
 	if l.InOrder && key != "" {
 		t.key = key
 		if !r.joinTurn(i) {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -454,6 +454,56 @@
 	}
 }
 
+// A router made from what one before it knew: lanes, bounds, reports and distrust with their age; the ration and this turn at
+// a cold engine as used up; an engine that was started since is new.
+func ExampleRouter_Recall() {
+	d := deployment()
+	d.ExtraFree, d.ExtraShare, d.ExtraSpan = 2, 0.1, 10*Second
+	d.Settle = 2 * Second
+	s := start(d, "e1", "e2")
+	s.answer(30, 0, 120*Millisecond)
+	s.Listed(s.at, Changes, []Listing{{Engine: "e3", Since: s.at}})
+	s.probed("e1", Delivered, Report{-1, 0.2, -1, -1})
+	s.probed("e2", Reset, NoReport)
+	s.task("k", 3, 0, "key")
+	s.end("k", TimedOut)
+	b := s.Memory(s.at).Encode()
+	m, err := DecodeMemory(b)
+	fmt.Print(s.out.String(), err, "\n")
+	for _, later := range []Time{500 * Millisecond, 30 * Second} {
+		n := &script{d: d, at: s.at + later}
+		n.Router = New(n.at, 8, d, n)
+		n.Recall(n.at, m)
+		n.Listed(n.at, Whole, []Listing{{Engine: "e1", Since: s.at + 1}, {Engine: "e2"}, {Engine: "e3", Since: m.Engines[2].Since}})
+		fmt.Printf("%v later: run %.0f ms by %.0f answers, further hand-offs allowed %t, key rests %t\n", ms(later), n.lanes[0].run/10,
+			n.lanes[0].answers, n.rationed(), n.turns["key"].rest > n.at)
+		for i := range n.engines {
+			e := &n.engines[i]
+			fmt.Printf("  %s bound %.1f, distrust %.1f, busy %.2f, room while cold %t\n", e.Engine, e.bound, n.score(e), n.load(e), !n.isCold(e) || n.coldRoom(e, &task{}))
+		}
+	}
+	if _, err := DecodeMemory([]byte(`{"Version":9}`)); err != nil {
+		fmt.Println(err)
+	}
+	// Output:
+	//   3600 ms  probe of e1: bound 8, distrust 0.0
+	//   3600 ms  probe of e2: bound 8, distrust 1.5
+	//   3600 ms  k arrives in lane 3
+	//   3600 ms    -> hand k to e1, patience 10000 ms
+	//   3600 ms  k ends: timed out
+	//   3600 ms    -> hand k to e2, patience 10000 ms
+	// <nil>
+	// 500 ms later: run 120 ms by 30 answers, further hand-offs allowed false, key rests true
+	//   e1 bound 8.0, distrust 0.0, busy 0.44, room while cold true
+	//   e2 bound 8.0, distrust 1.2, busy 0.44, room while cold true
+	//   e3 bound 8.0, distrust 0.0, busy 0.44, room while cold false
+	// 30000 ms later: run 120 ms by 21 answers, further hand-offs allowed true, key rests false
+	//   e1 bound 8.0, distrust 0.0, busy 0.44, room while cold true
+	//   e2 bound 8.0, distrust 0.0, busy 0.44, room while cold true
+	//   e3 bound 8.0, distrust 0.0, busy 0.44, room while cold true
+	// version 9 of the form, this program knows 1
+}
+
 func TestOrdinaryPathAllocatesNothing(t *testing.T) {
 	d := deployment()
 	d.Ranked = true
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -41,6 +41,14 @@
 	Upper  Time    // that nine of ten stay under
 	Memory float64 // MB
 	Class  int     // into which an operator's rules put it
+	Past   Past
+}
+
+// Past is what is known of a task's hand-offs by a process before this one; that of a new task is zero.
+type Past struct {
+	MayRan      bool // one was out whose end doesn't prove that nothing ran
+	DoubtAt     Time // when it went out
+	Zone, Group int  // of its engine
 }
 
 // State is what the engine list says of an engine.
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -57,6 +57,7 @@
   magpiebank serve       serve clients until told to stop by SIGTERM; SIGHUP has the configuration read again
   magpiebank check       read the configuration, print what it says, and stop
   magpiebank statement   what is read of statements, and what was learned of them
+  magpiebank store       what a folder of --state holds
   magpiebank version     print the version
 
 Each takes --help. To see it at work without a configuration: magpielab demo.
@@ -97,7 +98,7 @@
 			DisableFlagParsing: true, RunE: func(*cobra.Command, []string) error { return become() }})
 	}
 	root.AddCommand(p.Commands...)
-	root.AddCommand(p.serveCommand(env, errs), p.checkCommand(env, out), &cobra.Command{Use: "version", Short: "Print the version",
+	root.AddCommand(p.serveCommand(env, errs), p.checkCommand(env, out), storeCommand(out), &cobra.Command{Use: "version", Short: "Print the version",
 		Args: cobra.NoArgs, Run: func(*cobra.Command, []string) { fmt.Fprintln(out, "magpiebank", version) }})
 	root.SetArgs(args)
 	root.SetOut(out)
@@ -174,6 +175,8 @@
 	var file string
 	var most int64
 	var text bool
+	var state string
+	var stateMB int64
 	c := &cobra.Command{Use: "serve", Short: "Serve clients until told to stop by SIGTERM; SIGHUP has the configuration read again",
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -230,7 +233,11 @@
 					}
 				}
 			}()
-			if err := router.Serve(start, tape, desk, log, stop, renewed); err != nil {
+			keep, shut, err := openState(state, stateMB, start, log)
+			if err != nil {
+				return cannot{err}
+			}
+			if err := errors.Join(router.Serve(start, router.With{Tape: tape, Desk: desk, Keep: keep}, log, stop, renewed), shut()); err != nil {
 				return cannot{err}
 			}
 			return nil
@@ -238,6 +245,8 @@
 	from.flags(c, env)
 	c.Flags().StringVar(&file, "capture", "", "record the tasks that come to this new file, for magpielab to play again")
 	c.Flags().Int64Var(&most, "capture-mb", usualCapture, "most megabytes that the file grows to")
+	c.Flags().StringVar(&state, "state", "", "folder for the record of tasks, which survives a crash; default none is kept")
+	c.Flags().Int64Var(&stateMB, "state-mb", usualState, "most megabytes that the folder takes")
 	c.Flags().BoolVar(&text, "capture-text", false, "record statements with their literals, not their shapes only")
 	return c
 }
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,328 @@
+package ledger_test
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"testing"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/ledger"
+	"magpiebank/internal/store"
+	"magpiebank/internal/store/faulty"
+)
+
+const second = admission.Second
+
+// lanes: 0 may run again, 1 must not, 2 is dropped as a repeat for three seconds.
+var lanes = []ledger.Lane{{Effect: admission.Idempotent, Longest: 5 * second}, {Effect: admission.Unrepeatable, Longest: 20 * second},
+	{Effect: admission.Deduplicated, Remember: 3 * second, Longest: 20 * second}}
+
+// log joins a ledger to a store.
+type log struct{ s *store.Store }
+
+func (l log) Put(k ledger.Key, b []byte, done func(error)) { l.s.Put(store.Key(k), b, done) }
+func (l log) Delete(k ledger.Key, done func(error))        { l.s.Delete(store.Key(k), done) }
+
+// open opens a folder's ledger, recovered at a time.
+func open(f store.Folder, now admission.Time) (*ledger.Ledger, *store.Store, error) {
+	var l *ledger.Ledger
+	var behind log
+	l = ledger.New(&behind, lanes, 1000)
+	var bad error
+	s, _, err := store.Open(f, "g1", store.Limits{Rewrite: time.Hour}, func(k store.Key, b []byte, gone bool) {
+		bad = errors.Join(bad, l.Replay(ledger.Key(k), b, gone))
+	})
+	if err == nil {
+		behind.s = s
+		if err = bad; err == nil {
+			l.Recover(now)
+		}
+	}
+	return l, s, err
+}
+
+// wait does what asks for leave and waits for it.
+func wait(do func(may func(error)) bool) error {
+	done := make(chan error, 1)
+	if do(func(err error) { done <- err }) {
+		return <-done
+	}
+	return nil
+}
+
+// told is what an engine or a client has seen.
+type told struct {
+	id     admission.TaskID
+	sent   bool // a hand-off's first byte,
+	proved bool // or proof that nothing of it ran; else an answer
+	out    ledger.Outcome
+	size   int // of the log by then
+}
+
+// segment is the log's one file: a day fills no more.
+const segment = "0000000000000001.log"
+
+// day plays tasks of all lanes through every way that they can go; it stops when power is lost.
+func day(f *faulty.Folder, planted bool) (seen []told) {
+	l, s, err := open(f, 1000*second)
+	if err != nil {
+		return nil
+	}
+	defer s.Close()
+	now := 1000 * second
+	see := func(t told) { t.size = len(f.Bytes(segment)); seen = append(seen, t) }
+	for n := range 12 {
+		id := admission.TaskID(fmt.Sprintf("%016x", n))
+		lane := n % 3
+		now += second / 10
+		l.Take(now, id, lane, now+10*second)
+		if n == 11 {
+			break // taken, and nothing more
+		}
+		answer := func(out ledger.Outcome, rows [][]byte) bool {
+			if planted { // the defect: the client sees the answer before it is recorded
+				see(told{id: id, out: out})
+			}
+			if wait(func(may func(error)) bool { return l.End(now, id, out, rows, may) }) != nil {
+				return false
+			}
+			see(told{id: id, out: out})
+			return true
+		}
+		for try := range 1 + n%2 {
+			if wait(func(may func(error)) bool { return l.Going(now, id, 1, n%4, may) }) != nil {
+				return seen
+			}
+			see(told{id: id, sent: true})
+			if n >= 9 {
+				break // it is out when the day ends
+			}
+			if try < n%2 {
+				l.Ended(now, id, true)
+				see(told{id: id, proved: true})
+			}
+		}
+		if n >= 9 {
+			continue
+		}
+		out := []ledger.Outcome{ledger.Delivered, ledger.WrittenOff, ledger.Delivered, ledger.Nacked}[n%4]
+		l.Ended(now, id, out == ledger.Nacked)
+		if out == ledger.Nacked {
+			see(told{id: id, proved: true})
+		}
+		if !answer(out, [][]byte{[]byte("a\tb\tc\n")}) {
+			return seen
+		}
+	}
+	return seen
+}
+
+// right opens what was left and holds it against what was seen: a task of a lane that may not run twice, of which an engine
+// has seen a byte, is known as one that may have run, or has its answer; and an answer that a client has seen is the one
+// that it gets again.
+func right(left store.Folder, seen []told, now admission.Time) error {
+	l, s, err := open(left, now)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for i, t := range seen {
+		var n int
+		fmt.Sscanf(string(t.id), "%x", &n)
+		lane := n % 3
+		if lane == 0 {
+			continue // look-ups' records are not waited for
+		}
+		standing, e := l.Ask(t.id)
+		if t.sent {
+			proved := false
+			for _, o := range seen[i+1:] {
+				proved = proved || o.id == t.id && o.proved
+			}
+			switch {
+			case proved:
+			case standing == ledger.Unknown:
+				return fmt.Errorf("%s went out, and nothing is known of it", t.id)
+			case standing == ledger.Again && !e.MayRan:
+				return fmt.Errorf("%s went out, and would be sent as a new one", t.id)
+			case standing == ledger.Again && lane == 1:
+				return fmt.Errorf("%s went out and must not run twice, and has no answer", t.id)
+			case standing == ledger.Again && now >= e.DoubtAt+3*second:
+				return fmt.Errorf("%s went out, its window is past, and it has no answer", t.id)
+			}
+			continue
+		}
+		if t.proved {
+			continue
+		}
+		if standing != ledger.Answered || e.Outcome != t.out {
+			return fmt.Errorf("%s was answered: %v; asked for again it is %v", t.id, t.out, e)
+		}
+		if t.out == ledger.Delivered && (!e.Whole() || string(e.Rows[0]) != "a\tb\tc\n") {
+			return fmt.Errorf("%s was delivered, and its rows are %q", t.id, e.Rows)
+		}
+	}
+	return nil
+}
+
+// crashes loses power at each operation of a day, in every way up to a bound, and once more while it recovers.
+func crashes(most int, planted bool) (states int, bad error) {
+	for at := 0; bad == nil; at++ {
+		f := &faulty.Folder{At: func(n int, _ string) error {
+			if n >= at {
+				return faulty.ErrLost
+			}
+			return nil
+		}}
+		seen := day(f, planted)
+		now := 1000*second + 2*second
+		states += f.Each(most, int64(at), func(left *faulty.Folder) {
+			if err := right(left, seen, now); err != nil && bad == nil {
+				bad = fmt.Errorf("power lost at operation %d: %w", at, err)
+			}
+		})
+		for again := range 10 {
+			left := f.Left(func(part int) bool { return (part+again)%2 == 0 }, -1)
+			left.At = func(n int, _ string) error {
+				if n >= again {
+					return faulty.ErrLost
+				}
+				return nil
+			}
+			right(left, nil, now)
+			states += left.Each(most, int64(again), func(second_ *faulty.Folder) {
+				if err := right(second_, seen, now+5*second); err != nil && bad == nil {
+					bad = fmt.Errorf("power lost at operation %d, and at operation %d of the recovery: %w", at, again, err)
+				}
+			})
+		}
+		if f.N < at {
+			break
+		}
+	}
+	return states, bad
+}
+
+func TestCrashes(t *testing.T) {
+	states, bad := crashes(3, false)
+	t.Logf("%d states", states)
+	if bad != nil {
+		t.Error(bad)
+	}
+	if _, bad := crashes(3, true); bad == nil {
+		t.Error("answers that are seen before they are recorded are not found")
+	} else {
+		t.Log("planted: ", bad)
+	}
+}
+
+// The log cut at every byte, as power lost while it was written may leave it, holds all that an engine or client had seen
+// by then.
+func TestEveryByte(t *testing.T) {
+	f := &faulty.Folder{}
+	seen := day(f, false)
+	whole := f.Bytes(segment)
+	for cut := 48; cut <= len(whole); cut++ {
+		left := &faulty.Folder{}
+		b := f.Bytes("manifest")
+		copy(b[40:48], make([]byte, 8)) // not closed in order
+		left.Put("manifest", withSum(b))
+		left.Put(segment, whole[:cut])
+		var by []told
+		for _, s := range seen {
+			if s.size <= cut {
+				by = append(by, s)
+			}
+		}
+		if err := right(left, by, 1002*second); err != nil {
+			t.Fatalf("cut to %d of %d bytes: %v", cut, len(whole), err)
+		}
+	}
+	t.Logf("%d cuts, %d things seen", len(whole)-47, len(seen))
+}
+
+func TestClockBack(t *testing.T) { // an hour back between two starts: nothing is younger for it, and no window is longer
+	f := &faulty.Folder{}
+	l, s, err := open(f, 5000*second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Take(5000*second, "0000000000000001", 2, 5010*second)
+	wait(func(may func(error)) bool { return l.Going(5000*second, "0000000000000001", 0, 0, may) })
+	l.Take(5004*second, "0000000000000002", 0, 5010*second)
+	s.Close()
+	l, s, err = open(f, 5004*second-3600*second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if standing, e := l.Ask("0000000000000001"); standing != ledger.Answered || e.Outcome != ledger.WrittenOff {
+		t.Errorf("%v %+v", standing, e)
+	}
+}
+
+func TestLeft(t *testing.T) { // what was open at a start and is not asked for again ends at its cut-off, and is forgotten later
+	f := &faulty.Folder{}
+	l, s, err := open(f, 1000*second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range 6 {
+		id := admission.TaskID(fmt.Sprintf("%016x", n))
+		l.Take(1000*second, id, n%3, 1010*second)
+		if n < 3 {
+			wait(func(may func(error)) bool { return l.Going(1000*second, id, 0, 0, may) })
+		}
+	}
+	s.Close()
+	if l, s, err = open(f, 1001*second); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	l.Take(1002*second, "0000000000000005", 2, 1020*second)
+	l.Due(1011 * second)
+	for n, want := range []ledger.Outcome{ledger.Nacked, ledger.WrittenOff, ledger.WrittenOff, ledger.Nacked, ledger.Nacked, ledger.Open} {
+		if _, e := l.Ask(admission.TaskID(fmt.Sprintf("%016x", n))); e == nil || e.Outcome != want {
+			t.Errorf("task %d: %+v, expected %v", n, e, want)
+		}
+	}
+	l.Due(1200 * second)
+	if l.Len() != 1 {
+		t.Errorf("%d are known", l.Len())
+	}
+}
+
+func TestForgotten(t *testing.T) { // by time, never before the windows are past; by space the oldest first
+	f := &faulty.Folder{}
+	l, s, err := open(f, 1000*second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for n := range 1500 {
+		id := admission.TaskID(fmt.Sprintf("%016x", n))
+		now := 1000*second + admission.Time(n)
+		l.Take(now, id, 0, now+second)
+		l.End(now, id, ledger.Nacked, nil, func(error) {})
+	}
+	if l.Len() != 1000 || l.Counts.Dropped != 500 {
+		t.Errorf("%d kept, %d dropped", l.Len(), l.Counts.Dropped)
+	}
+	l.Due(1000*second + 59*second)
+	if l.Len() != 1000 {
+		t.Errorf("%d kept after 59 s", l.Len())
+	}
+	l.Due(1000*second + 70*second)
+	if l.Len() != 0 {
+		t.Errorf("%d kept after 70 s", l.Len())
+	}
+}
+
+// withSum gives a manifest the checksum of what it says now.
+func withSum(b []byte) []byte {
+	binary.LittleEndian.PutUint32(b[len(b)-4:], crc32.Checksum(b[:len(b)-4], crc32.MakeTable(crc32.Castagnoli)))
+	return b
+}
--- /dev/null
+++ b/internal/load/restart/restart.go
@@ -0,0 +1,294 @@
+// Package restart kills a gateway that keeps a record of its tasks, again and again under load, and holds what its clients and
+// engines have seen against the rules: no task that may not run twice runs twice, each gets one answer, and whoever asks
+// again is told the same.
+package restart
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	driver "github.com/go-sql-driver/mysql"
+
+	"magpiebank/internal/site"
+	"magpiebank/internal/standin"
+)
+
+// Plan is what is done.
+type Plan struct {
+	Program string // the gateway's
+	Folder  string
+	Kills   int
+	Loads   int // clients that ask for tasks that may not run twice, one after the other
+	Looks   int // and for look-ups
+	Seed    int64
+	Without bool // no record is kept: for what that would be like
+}
+
+// Result is what was seen.
+type Result struct {
+	Kills     int           `json:"kills"`
+	Tasks     int           `json:"tasks"`     // that may not run twice
+	Delivered int           `json:"delivered"` // by their final answers
+	Nacked    int           `json:"nacked"`
+	Off       int           `json:"written_off"`
+	Asked     int           `json:"asked_again"` // asks for a task whose connection broke, or that was answered
+	Twice     []string      `json:"begun_twice"`
+	Doubled   []string      `json:"answered_differently"`
+	Untrue    []string      `json:"answers_that_are_not_true"` // delivered that did not run, nacked that did
+	Lost      []string      `json:"without_an_answer"`
+	LooksP50  time.Duration `json:"look_ups_p50_ns"`
+	LoadsP50  time.Duration `json:"loads_p50_ns"`
+	Recovery  time.Duration `json:"longest_recovery_ns"` // from a start to the first connection taken
+}
+
+// Good tells whether the rules were kept.
+func (r *Result) Good() bool {
+	return len(r.Twice)+len(r.Doubled)+len(r.Untrue)+len(r.Lost) == 0 && r.Delivered > 0
+}
+
+// The times of a run: tasks are some tens of milliseconds, so that many are under way at each kill; a gateway lives for some
+// hundreds, so that some are recorded, some out and some answered when it dies.
+const (
+	loadService = 30 * time.Millisecond
+	lookService = 4 * time.Millisecond
+	leastLife   = 100 * time.Millisecond
+	mostLife    = 400 * time.Millisecond
+	patience    = 8 * time.Second
+	answerBy    = 20 * time.Second // a client that had no answer by then never gets one
+)
+
+type runner struct {
+	p      Plan
+	db     *sql.DB
+	result Result
+	mu     sync.Mutex
+	over   atomic.Bool
+	gots   map[string]end // by task
+	looks  []time.Duration
+	loads  []time.Duration
+}
+
+// Run makes a run.
+func Run(ctx context.Context, p Plan) (*Result, error) {
+	driver.SetLogger(log{})
+	plan := site.Plan{Gateways: 1, Engines: 4, Zones: []string{"norte", "sur"}, Cores: 8, MemoryMB: 192, Sockets: 512,
+		ConnectWithin: 250 * time.Millisecond, Idle: 30 * time.Second, Seed: p.Seed, Program: p.Program,
+		Lanes: []site.Lane{{Name: "look", Quoted: time.Second, Longest: patience, Earnings: 1, Effect: "idempotent", Threads: 1},
+			{Name: "load", Quoted: 4 * time.Second, Longest: patience, Earnings: 10, Effect: "unrepeatable", Threads: 1}},
+		Manner: standin.Manner{Threads: 16, Cores: 8, Works: []standin.Work{{Lane: "load", Rows: 2, Service: standin.Spread{Kind: "exponential", Mean: loadService}},
+			{Lane: "look", Rows: 1, Service: standin.Spread{Kind: "exponential", Mean: lookService}}}}}
+	if !p.Without {
+		plan.More = []string{"--state", filepath.Join(p.Folder, "state")}
+	}
+	s, err := site.Up(plan, p.Folder)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Down()
+	r := &runner{p: p, gots: map[string]end{}}
+	if r.db, err = sql.Open("mysql", "app@tcp("+s.Targets()[0]+")/reports?timeout=1s"); err != nil {
+		return nil, err
+	}
+	defer r.db.Close()
+	r.db.SetMaxIdleConns(0) // each ask on a connection of its own, as the last one may be dead
+	var all sync.WaitGroup
+	for c := range p.Loads {
+		all.Add(1)
+		go func() { defer all.Done(); r.loader(c) }()
+	}
+	for c := range p.Looks {
+		all.Add(1)
+		go func() { defer all.Done(); r.looker(c) }()
+	}
+	chance := rand.New(rand.NewSource(p.Seed))
+	gateway := s.Gateways[0]
+	for range p.Kills {
+		select {
+		case <-ctx.Done():
+			r.over.Store(true)
+			all.Wait()
+			return nil, ctx.Err()
+		case <-time.After(leastLife + time.Duration(chance.Int63n(int64(mostLife-leastLife)))):
+		}
+		gateway.Kill()
+		began := time.Now()
+		if err = gateway.Start(); err != nil {
+			break
+		}
+		for by := began.Add(5 * time.Second); r.db.Ping() != nil && time.Now().Before(by); time.Sleep(time.Millisecond) {
+		}
+		r.result.Recovery = max(r.result.Recovery, time.Since(began))
+		r.result.Kills++
+	}
+	time.Sleep(mostLife)
+	r.over.Store(true)
+	all.Wait()
+	if err != nil {
+		return nil, err
+	}
+	gateway.Signal(syscall.SIGTERM)
+	s.Log.Each(func(t standin.Truth) {
+		if strings.HasPrefix(t.ID, "1") && t.Began > 1 {
+			r.result.Twice = append(r.result.Twice, fmt.Sprintf("%s began %d times", t.ID, t.Began))
+		}
+	})
+	r.judge(s.Log)
+	r.result.LooksP50, r.result.LoadsP50 = middle(r.looks), middle(r.loads)
+	return &r.result, nil
+}
+
+// log throws away what the driver says of connections that break, as they are meant to.
+type log struct{}
+
+func (log) Print(...any) {}
+
+// end is how an ask ended.
+type end string
+
+const (
+	delivered end = "delivered"
+	nacked    end = "nacked"
+	off       end = "written off"
+	broken    end = "" // the connection ended without an answer
+)
+
+// ask sends one statement and tells how it ended.
+func (r *runner) ask(lane, id, statement string) end {
+	ctx, cancel := context.WithTimeout(context.Background(), patience+time.Second)
+	defer cancel()
+	rows, err := r.db.QueryContext(ctx, fmt.Sprintf("/* class=%s,id=%s,wait=%d */ %s", lane, id, patience.Milliseconds(), statement))
+	n := 0
+	if err == nil {
+		for rows.Next() {
+			var a, b, c string
+			if rows.Scan(&a, &b, &c) == nil && a == id {
+				n++
+			}
+		}
+		err = errors.Join(rows.Err(), rows.Close())
+	}
+	var e *driver.MySQLError
+	switch {
+	case err == nil && n > 0:
+		return delivered
+	case errors.As(err, &e) && e.Number == 1203:
+		return nacked
+	case errors.As(err, &e) && e.Number == 1317:
+		return off
+	case err == nil || errors.As(err, &e):
+		return end(fmt.Sprintf("%d rows, %v", n, err))
+	}
+	return broken
+}
+
+// loader asks for one task after the other, and again for each until it has its answer; some are asked for once more then.
+func (r *runner) loader(c int) {
+	chance := rand.New(rand.NewSource(r.p.Seed*100 + int64(c)))
+	for n := 0; !r.over.Load(); n++ {
+		id := fmt.Sprintf("1%07x%08x", c, n)
+		statement := fmt.Sprintf("INSERT INTO actas_%d.mesas SELECT * FROM staging.lote_%d", c%4+1, n)
+		began := time.Now()
+		got, asks := broken, 0
+		for got == broken && time.Since(began) < answerBy {
+			if asks > 0 {
+				time.Sleep(time.Duration(chance.Int63n(int64(20 * time.Millisecond))))
+			}
+			got = r.ask("load", id, statement)
+			asks++
+		}
+		took := time.Since(began)
+		again := got
+		if got != broken && chance.Intn(3) == 0 {
+			for again = broken; again == broken && time.Since(began) < 2*answerBy; asks++ {
+				again = r.ask("load", id, statement)
+			}
+		}
+		r.mu.Lock()
+		r.result.Tasks++
+		r.result.Asked += asks - 1
+		switch got {
+		case delivered:
+			r.result.Delivered++
+		case nacked:
+			r.result.Nacked++
+		case off:
+			r.result.Off++
+		case broken:
+			r.result.Lost = append(r.result.Lost, id)
+		default:
+			r.result.Untrue = append(r.result.Untrue, id+": "+string(got))
+		}
+		if asks == 1 {
+			r.loads = append(r.loads, took)
+		}
+		if again != got {
+			r.result.Doubled = append(r.result.Doubled, fmt.Sprintf("%s: %s, then %s", id, got, again))
+		}
+		r.gots[id] = got
+		r.mu.Unlock()
+	}
+}
+
+// judge holds answers against what engines did.
+func (r *runner) judge(log *standin.Log) {
+	for id, got := range r.gots {
+		if t, _ := log.Of(id); got == delivered && t.Runs != 1 || got == nacked && t.Began > 0 {
+			r.result.Untrue = append(r.result.Untrue, fmt.Sprintf("%s was %s, and ran %d times", id, got, t.Began))
+		}
+	}
+	slices.Sort(r.result.Untrue)
+}
+
+func (r *runner) looker(c int) {
+	for n := 0; !r.over.Load(); n++ {
+		began := time.Now()
+		if r.ask("look", fmt.Sprintf("2%07x%08x", c, n), fmt.Sprintf("SELECT nota FROM actas_%d.mesas WHERE clave = 'v%d'", n%4+1, n)) == delivered {
+			r.mu.Lock()
+			r.looks = append(r.looks, time.Since(began))
+			r.mu.Unlock()
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+func middle(list []time.Duration) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return list[len(list)/2]
+}
+
+// Text writes a result.
+func (r *Result) Text(out io.Writer) {
+	fmt.Fprintf(out, "%d kills, %d tasks that may not run twice, %d asked again: %d delivered, %d nacked, %d written off (real sockets on loopback)\n",
+		r.Kills, r.Tasks, r.Asked, r.Delivered, r.Nacked, r.Off)
+	fmt.Fprintf(out, "medians of those answered at the first ask: loads %.1f ms, look-ups %.1f ms; longest from a start to a connection %.0f ms\n",
+		float64(r.LoadsP50)/1e6, float64(r.LooksP50)/1e6, float64(r.Recovery)/1e6)
+	for _, v := range []struct {
+		what string
+		list []string
+	}{{"run twice", r.Twice}, {"answered differently when asked again", r.Doubled}, {"answers that are not true", r.Untrue}, {"without an answer", r.Lost}} {
+		word := "good"
+		if len(v.list) > 0 {
+			word = "BAD "
+		}
+		fmt.Fprintf(out, "%s   %d %s\n", word, len(v.list), v.what)
+		for i, line := range v.list {
+			if i < 5 {
+				fmt.Fprintln(out, "         "+line)
+			}
+		}
+	}
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -104,7 +104,7 @@
 		t.Fatal(err)
 	}
 	stop, ended := make(chan struct{}), make(chan error)
-	go func() { ended <- router.Serve(start, nil, g.desk, logger, stop, nil) }()
+	go func() { ended <- router.Serve(start, router.With{Desk: g.desk}, logger, stop, nil) }()
 	g.db, _ = sql.Open("mysql", "app@tcp("+address+")/reports?timeout=2s")
 	for by := time.Now().Add(5 * time.Second); g.db.Ping() != nil; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(by) {
--- a/internal/router/desk.go
+++ b/internal/router/desk.go
@@ -46,5 +46,8 @@
 			h.of.held = true
 		}
 	}
+	if o.keep != nil {
+		o.keep.Ledger.Ended(now, h.of.id, how.NeverRan())
+	}
 	o.module.Ended(now, h.of.id, how, over, work, memory, admission.NoReport)
 }
--- a/internal/router/driver_test.go
+++ b/internal/router/driver_test.go
@@ -52,7 +52,7 @@
 	}
 	stop, ended := make(chan struct{}), make(chan error)
 	go func() {
-		ended <- Serve(start, nil, nil, slog.New(slog.NewTextHandler(io.Discard, nil)), stop, nil)
+		ended <- Serve(start, With{}, slog.New(slog.NewTextHandler(io.Discard, nil)), stop, nil)
 	}()
 	db, err := sql.Open("mysql", "app@tcp("+address+")/reports?timeout=2s")
 	if err != nil {
--- a/internal/router/handoff.go
+++ b/internal/router/handoff.go
@@ -26,6 +26,7 @@
 	patience  admission.Time
 	memory    float64
 	state     atomic.Int32
+	carried   bool // the owner's: it was handed to its carrier
 
 	// As the desk counts it.
 	class            int
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"magpiebank/internal/admission"
+	"magpiebank/internal/ledger"
 )
 
 // host is what the module's decisions act on.
@@ -21,7 +22,7 @@
 		a.o.tellEnded(h, admission.Unreachable)
 		return
 	}
-	t.by.carry(h, e)
+	a.o.going(h, name)
 }
 
 func (a host) Cancel(id admission.TaskID, n int) {
@@ -32,20 +33,20 @@
 
 func (a host) Nack(id admission.TaskID, comeBack admission.Time) {
 	t := a.o.tasks[id]
-	a.o.answered(t)
-	t.by.nacked(comeBack)
+	a.o.answer(a.o.now, t, ledger.Nacked, nil, func() { t.by.nacked(comeBack) })
 }
 
 func (a host) WriteOff(id admission.TaskID) {
 	t := a.o.tasks[id]
-	a.o.answered(t)
-	t.by.writtenOff()
+	a.o.answer(a.o.now, t, ledger.WrittenOff, nil, t.by.writtenOff)
 }
 
 func (a host) Terms(id admission.TaskID, memory float64, rank int) {
 	t := a.o.tasks[id]
 	t.memory, t.rank = memory, rank
-	if h := t.out; h != nil {
+	if h := t.out; h != nil && !h.carried {
+		h.rank = rank
+	} else if h != nil {
 		t.by.do(func() { h.bump(rank) })
 	}
 }
@@ -70,6 +71,9 @@
 			if a.o.desk != nil {
 				a.o.desk.Due(now)
 			}
+			if a.o.keep != nil {
+				a.o.keep.due(now, a.o.module)
+			}
 			a.o.module.Due(now)
 		})
 	})
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -9,6 +9,7 @@
 	"magpiebank/internal/admission"
 	"magpiebank/internal/capture"
 	"magpiebank/internal/deployment"
+	"magpiebank/internal/ledger"
 )
 
 // owner is the one goroutine that calls the module. Sockets reach it through its inbox, and it reaches them
@@ -20,6 +21,7 @@
 	network        *deployment.Network
 	site           *admission.Deployment
 	desk           Desk             // nil: there are no classes
+	keep           *Keeping         // nil: nothing of tasks is recorded
 	tape           *capture.Capture // nil: nothing is recorded
 	door           door
 	statements     atomic.Int64 // bytes set aside for long statements,
@@ -35,6 +37,7 @@
 	engines  map[admission.EngineID]carrier
 	carrier  func(name admission.EngineID, address string) carrier // makes one for an engine
 	sessions map[uint32]*session                                   // of the MySQL front, by connection id
+	places   map[admission.EngineID]admission.Listing              // where a record is kept
 }
 
 // ownDescriptors is what the process holds besides connections of clients and engines: its streams, the poller's,
@@ -110,6 +113,9 @@
 	if o.desk != nil {
 		o.desk.Listed(now, form, list)
 	}
+	if o.keep != nil {
+		o.placed(form, list)
+	}
 	o.module.Listed(now, form, list)
 }
 
@@ -119,6 +125,9 @@
 		t.by.refused("the id is in use")
 		return
 	}
+	if o.keep != nil && o.known(t) {
+		return
+	}
 	if o.desk != nil {
 		f, crowded, refuse := o.desk.Arrived(t.reader)
 		switch {
@@ -129,8 +138,16 @@
 			t.by.nacked(o.site.ComeBack)
 			return
 		}
-		t.foreseen, t.class, t.held = f, f.Class, f.Class > 0
+		f.Past = t.foreseen.Past
+		t.foreseen, t.class = f, f.Class
 	}
+	if o.keep != nil && !o.take(now, t) {
+		if t.class > 0 {
+			o.desk.Left(t.class)
+		}
+		return
+	}
+	t.held = t.class > 0
 	o.tasks[t.id] = t
 	t.rank = 1
 	o.module.Arrived(now, t.id, t.cutoff, t.lane, 0, "", t.tables, t.foreseen)
@@ -157,10 +174,13 @@
 	case admission.Delivered:
 		work, memory = h.work, h.needs
 		if o.tasks[t.id] == t {
-			o.answered(t)
-			t.by.delivered(h)
+			o.answer(now, t, ledger.Delivered, h.pages, func() { t.by.delivered(h) })
 		}
 	case admission.TimedOut, admission.Cancelled:
+		if !h.carried { // its record is still on its way, so not a byte has gone out
+			how = admission.Unreachable
+			break
+		}
 		if t.by.do(h.undo); !h.withdraw() {
 			h.doubt = how
 			h.stop = o.clock.After(o.undoWithin(now, t), func() {
@@ -203,6 +223,7 @@
 
 // answered forgets a task that is given its final answer.
 func (o *owner) answered(t *task) {
+	t.over = true
 	delete(o.tasks, t.id)
 	if t.held {
 		t.held = false
@@ -212,10 +233,12 @@
 
 // left ends a task for which nobody waits any more.
 func (o *owner) left(now admission.Time, t *task) {
+	if t.over { // its answer is on its way
+		return
+	}
 	o.module.ClientGone(now, t.id)
 	if t.out != nil { // so its patience is over
 		o.ended(now, t.out, admission.Cancelled)
 	}
-	o.answered(t)
-	t.by.left()
+	o.answer(now, t, ledger.Left, nil, t.by.left)
 }
--- /dev/null
+++ b/internal/router/record.go
@@ -0,0 +1,117 @@
+package router
+
+import (
+	"magpiebank/internal/admission"
+	"magpiebank/internal/ledger"
+)
+
+// Keeping is a record of tasks that survives this process.
+type Keeping struct {
+	Ledger *ledger.Ledger
+	Failed func() error // why nothing can be recorded any more; nil: it can
+
+	Memory   *admission.Memory // what the process before knew; nil: nothing
+	Remember func([]byte)      // keeps what this one knows
+
+	rememberedAt admission.Time
+}
+
+// rememberEvery is how often what the decisions know is kept: engines report some times a second, so that a second tells
+// where bounds and lanes stand; the ration and cold engines don't rest on how old it is.
+const rememberEvery = admission.Second
+
+// due is the record's part of the timer.
+func (k *Keeping) due(now admission.Time, module *admission.Router) {
+	k.Ledger.Due(now)
+	if now-k.rememberedAt >= rememberEvery {
+		k.rememberedAt = now
+		k.Remember(module.Memory(now).Encode())
+	}
+}
+
+// known answers a task that was answered before; it tells whether it did. One that was in hand when the process before died
+// goes on with what is known of it.
+func (o *owner) known(t *task) bool {
+	standing, e := o.keep.Ledger.Ask(t.id)
+	switch {
+	case standing == ledger.Again:
+		t.foreseen.Past = admission.Past{MayRan: e.MayRan, DoubtAt: e.DoubtAt, Zone: e.Zone, Group: e.Group}
+		return false
+	case standing != ledger.Answered:
+		return false
+	case e.Outcome == ledger.Delivered && e.Whole():
+		t.by.delivered(&handOff{of: t, pages: e.Rows})
+	case e.Outcome == ledger.Delivered:
+		t.by.barred("it was delivered before, and its rows are not kept")
+	case e.Outcome == ledger.WrittenOff, e.Outcome == ledger.Left && e.MayRan && o.strict(t):
+		t.by.writtenOff()
+	default:
+		t.by.nacked(o.site.ComeBack)
+	}
+	return true
+}
+
+// strict tells whether a second run of a task would do harm.
+func (o *owner) strict(t *task) bool { return o.site.Lanes[t.lane].Effect != admission.Idempotent }
+
+// take records that a task is taken. Where nothing can be recorded any more, one that may not run twice is nacked: after a
+// crash nobody would know of it.
+func (o *owner) take(now admission.Time, t *task) bool {
+	if o.strict(t) && o.keep.Failed() != nil {
+		t.by.nacked(o.site.ComeBack)
+		return false
+	}
+	o.keep.Ledger.Take(now, t.id, t.lane, t.cutoff)
+	return true
+}
+
+// going records that a hand-off is about to go out, and has it brought to its engine: at once, or once the record survives.
+func (o *owner) going(h *handOff, name admission.EngineID) {
+	if o.keep != nil {
+		place := o.places[name]
+		if o.keep.Ledger.Going(o.now, h.of.id, place.Zone, place.Group, func(err error) {
+			o.tell(func(now admission.Time) { o.mayGo(now, h, err) })
+		}) {
+			return
+		}
+	}
+	h.carried = true
+	h.of.by.carry(h, h.to)
+}
+
+// mayGo brings a hand-off whose record survives to its engine; one whose record may not is never sent.
+func (o *owner) mayGo(now admission.Time, h *handOff, err error) {
+	switch {
+	case h.over:
+	case err != nil:
+		o.log.Warn("state", "code", "not_sent", "task", string(h.of.id), "error", err)
+		o.ended(now, h, admission.Moot)
+	default:
+		h.carried = true
+		h.of.by.carry(h, h.to)
+	}
+}
+
+// answer gives a task its final answer, once that is recorded where a second one could be given after a crash. An answer
+// that can't be recorded is given all the same: it is true now.
+func (o *owner) answer(now admission.Time, t *task, outcome ledger.Outcome, rows [][]byte, give func()) {
+	o.answered(t)
+	if o.keep != nil && o.keep.Ledger.End(now, t.id, outcome, rows, func(error) { o.tell(func(admission.Time) { give() }) }) {
+		return
+	}
+	give()
+}
+
+// placed notes where engines stand, for the record.
+func (o *owner) placed(form admission.Form, list []admission.Listing) {
+	if form != admission.Changes && form != admission.NoAnswer {
+		clear(o.places)
+	}
+	for _, l := range list {
+		if l.State == admission.Gone {
+			delete(o.places, l.Engine)
+		} else {
+			o.places[l.Engine] = l
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -25,9 +25,16 @@
 // lastRequests is how long after the order to stop requests still come.
 const lastRequests = 700 * time.Millisecond
 
+// With is what a router has besides; what is nil it hasn't.
+type With struct {
+	Tape *capture.Capture // records the tasks that come
+	Desk Desk             // an operator's rules
+	Keep *Keeping         // the record of tasks
+}
+
 // Serve runs a router until stop is closed and all it had taken is answered. What comes by renewed is a new
-// configuration; tape records the tasks that come, and desk has an operator's rules, where there are some.
-func Serve(start *deployment.Start, tape *capture.Capture, desk Desk, log *slog.Logger, stop <-chan struct{}, renewed <-chan *deployment.Start) error {
+// configuration.
+func Serve(start *deployment.Start, with With, log *slog.Logger, stop <-chan struct{}, renewed <-chan *deployment.Start) error {
 	if start.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(start.MemoryMB) << 20 * 3 / 4) // the rest is for stacks and the sockets' buffers
 	}
@@ -36,8 +43,14 @@
 		return fmt.Errorf("listen: %w", err)
 	}
 	o := newOwner(start, newWallClock(), log)
-	o.tape = tape
-	o.guard(desk)
+	o.tape = with.Tape
+	o.guard(with.Desk)
+	if o.keep = with.Keep; o.keep != nil {
+		o.places = map[admission.EngineID]admission.Listing{}
+		if o.keep.Memory != nil {
+			o.module.Recall(o.now, o.keep.Memory)
+		}
+	}
 	o.serve(start, listener, stop, renewed)
 	return nil
 }
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -322,7 +322,7 @@
 func (s *session) delivered(h *handOff) {
 	s.over(func() {
 		s.deliver(h.pages)
-		if s.reader != nil {
+		if s.reader != nil && h.to != nil { // not an answer of before
 			s.reader.Answered(h.work, h.needs)
 		}
 	})
--- a/internal/router/task.go
+++ b/internal/router/task.go
@@ -47,4 +47,5 @@
 	foreseen admission.Foreseen
 	class    int  // of the desk's; 0: none
 	held     bool // in a class, with no hand-off out
+	over     bool // it has its final answer
 }
--- /dev/null
+++ b/internal/store/bench_test.go
@@ -0,0 +1,125 @@
+package store_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"magpiebank/internal/store"
+)
+
+// commits has so many writers commit a value of 100 bytes each in turn, and reports commits a second and p99.
+func commits(b *testing.B, writers int, commit func(n int) error) {
+	each := max(1, b.N/writers)
+	took := make([]time.Duration, 0, each*writers)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	began := time.Now()
+	for w := range writers {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			own := make([]time.Duration, each)
+			for n := range each {
+				at := time.Now()
+				if err := commit(w*each + n); err != nil {
+					b.Error(err)
+					return
+				}
+				own[n] = time.Since(at)
+			}
+			mu.Lock()
+			took = append(took, own...)
+			mu.Unlock()
+		}()
+	}
+	all.Wait()
+	whole := time.Since(began)
+	slices.Sort(took)
+	if len(took) > 0 {
+		b.ReportMetric(float64(len(took))/whole.Seconds(), "commits/s")
+		b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "us-p99")
+	}
+}
+
+func BenchmarkCommits(b *testing.B) {
+	for _, writers := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("ours-%d", writers), func(b *testing.B) {
+			d, err := store.Disk(b.TempDir())
+			if err != nil {
+				b.Fatal(err)
+			}
+			s, _, err := store.Open(d, "g1", store.Limits{Most: 1 << 30}, func(store.Key, []byte, bool) {})
+			if err != nil {
+				b.Fatal(err)
+			}
+			commits(b, writers, func(n int) error {
+				done := make(chan error, 1)
+				s.Put(key(n), make([]byte, 100), func(err error) { done <- err })
+				return <-done
+			})
+			c := s.Counts()
+			b.ReportMetric(float64(c.Bytes)/float64(c.Writes*116), "bytes/kept")
+			s.Close()
+		})
+		b.Run(fmt.Sprintf("bbolt-%d", writers), func(b *testing.B) {
+			db, err := bbolt.Open(filepath.Join(b.TempDir(), "db"), 0o600, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer db.Close()
+			name := []byte("tasks")
+			db.Update(func(tx *bbolt.Tx) error { _, err := tx.CreateBucket(name); return err })
+			put := func(n int) func(tx *bbolt.Tx) error {
+				return func(tx *bbolt.Tx) error {
+					k := key(n)
+					return tx.Bucket(name).Put(k[:], make([]byte, 100))
+				}
+			}
+			commits(b, writers, func(n int) error {
+				if writers == 1 {
+					return db.Update(put(n))
+				}
+				return db.Batch(put(n))
+			})
+			stats := db.Stats()
+			b.ReportMetric(float64(stats.TxStats.GetPageAlloc())/float64(max(1, b.N)*116), "bytes/kept")
+		})
+	}
+}
+
+// BenchmarkRecovery opens a log of a million records that all hold.
+func BenchmarkRecovery(b *testing.B) {
+	folder := b.TempDir()
+	d, err := store.Disk(folder)
+	if err != nil {
+		b.Fatal(err)
+	}
+	limits := store.Limits{Most: 1 << 30, Segment: 64 << 20}
+	s, _, err := store.Open(d, "g1", limits, func(store.Key, []byte, bool) {})
+	if err != nil {
+		b.Fatal(err)
+	}
+	const million = 1000000
+	value := binary.LittleEndian.AppendUint64(make([]byte, 0, 60), 7)[:60]
+	for n := range million {
+		s.Put(key(n), value, nil)
+	}
+	if err := s.Close(); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		s, found, err := store.Open(d, "g1", limits, func(store.Key, []byte, bool) {})
+		if err != nil || found.Live != million {
+			b.Fatal(found, err)
+		}
+		b.ReportMetric(float64(found.Took.Milliseconds()), "ms/million")
+		s.Close()
+	}
+}
--- /dev/null
+++ b/internal/store/index_test.go
@@ -0,0 +1,110 @@
+package store
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestIndex(t *testing.T) { // against a map
+	flag.Set("rapid.seed", "5")
+	rapid.Check(t, func(t *rapid.T) {
+		var x index
+		m := map[Key]uint32{}
+		keys := rapid.IntRange(0, 60)
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				k, at := hexKey(keys.Draw(t, "key")), rapid.Uint32().Draw(t, "at")
+				old, had := x.put(place{key: k, segment: 1, at: at})
+				if want, ok := m[k]; ok != had || had && old.at != want {
+					t.Fatalf("%v %v, expected %v %v", old.at, had, want, ok)
+				}
+				m[k] = at
+			},
+			"remove": func(t *rapid.T) {
+				k := hexKey(keys.Draw(t, "key"))
+				_, had := x.remove(&k)
+				if _, ok := m[k]; ok != had {
+					t.Fatal("removed or not")
+				}
+				delete(m, k)
+			},
+			"": func(t *rapid.T) {
+				if x.used != len(m) {
+					t.Fatalf("%d, expected %d", x.used, len(m))
+				}
+				for k, at := range m {
+					if p, ok := x.get(&k); !ok || p.at != at {
+						t.Fatalf("%s: %v %v", k, p, ok)
+					}
+				}
+			},
+		})
+	})
+}
+
+func hexKey(n int) (k Key) {
+	copy(k[:], fmt.Sprintf("%016x", uint64(n)*0x9e3779b97f4a7c15))
+	return k
+}
+
+const million = 1 << 20
+
+func keysFor(n int) []Key {
+	out := make([]Key, n)
+	for i := range out {
+		out[i] = hexKey(i)
+	}
+	return out
+}
+
+// report adds bytes an entry and the pause of a collection to a benchmark of a table with a million entries.
+func report(b *testing.B, before runtime.MemStats) {
+	var after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/million, "bytes/entry")
+	began := time.Now()
+	runtime.GC()
+	b.ReportMetric(float64(time.Since(began).Microseconds()), "us/collection")
+}
+
+func BenchmarkIndex(b *testing.B) {
+	keys := keysFor(million)
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var x index
+	for i := range keys {
+		x.put(place{key: keys[i], segment: 1, at: uint32(i)})
+	}
+	i := 0
+	for b.Loop() {
+		i = (i*5 + 1) % million
+		x.get(&keys[i])
+	}
+	report(b, before)
+	runtime.KeepAlive(&x)
+}
+
+func BenchmarkMap(b *testing.B) {
+	keys := keysFor(million)
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	m := map[Key]*[3]uint32{}
+	for i := range keys {
+		m[keys[i]] = &[3]uint32{1, uint32(i), 0}
+	}
+	i := 0
+	for b.Loop() {
+		i = (i*5 + 1) % million
+		_ = m[keys[i]]
+	}
+	report(b, before)
+	runtime.KeepAlive(m)
+}
