--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"strings"
 	"testing"
 	"time"
 
@@ -264,6 +265,50 @@
 	}
 }
 
+// A disk that takes long for a sync: look-ups don't ask for leave at all, a load gets it once the disk is through.
+func TestSlowDisk(t *testing.T) {
+	f := &faulty.Folder{}
+	l, s, err := open(f, 1000*second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	begun, through := make(chan bool, 100), make(chan bool)
+	f.At = func(_ int, what string) error {
+		if strings.HasPrefix(what, "sync ") {
+			begun <- true
+			<-through
+		}
+		return nil
+	}
+	l.Take(1000*second, "0000000000000001", 1, 1020*second)
+	leave := make(chan error, 1)
+	if !l.Going(1000*second, "0000000000000001", 0, 0, func(err error) { leave <- err }) {
+		t.Fatal("a load may go out before its record survives")
+	}
+	<-begun
+	for n := range 1000 {
+		id := admission.TaskID(fmt.Sprintf("%016x", 100+n))
+		l.Take(1000*second, id, 0, 1010*second)
+		if l.Going(1000*second, id, 0, 0, nil) {
+			t.Fatal("a look-up waits for the disk")
+		}
+		l.Ended(1000*second, id, false)
+		if l.End(1000*second, id, ledger.Delivered, nil, nil) {
+			t.Fatal("a look-up's answer waits for the disk")
+		}
+	}
+	select {
+	case <-leave:
+		t.Fatal("leave before the sync was through")
+	default:
+	}
+	close(through)
+	if err := <-leave; err != nil {
+		t.Error(err)
+	}
+}
+
 func TestLeft(t *testing.T) { // what was open at a start and is not asked for again ends at its cut-off, and is forgotten later
 	f := &faulty.Folder{}
 	l, s, err := open(f, 1000*second)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -29,6 +29,7 @@
 	// what it costs, so a little more to share it among many pays, and none where writers come one by one.
 	gatherShare = 8
 	mostGather  = 2 * time.Millisecond
+	leastGather = 200 * time.Microsecond // a sleep that is shorter takes longer than it says
 	// Live records of the oldest segment are written again at most so fast, so that running writes have the disk.
 	compactBytes = 256 << 10
 	usualRewrite = 20 * time.Millisecond
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -55,8 +55,11 @@
 	if s.waiters < 2 {
 		return
 	}
-	by := time.Now().Add(min(mostGather, s.syncTook/gatherShare))
-	for time.Now().Before(by) {
+	within := min(mostGather, s.syncTook/gatherShare)
+	if within < leastGather {
+		return
+	}
+	for by := time.Now().Add(within); time.Now().Before(by); {
 		s.mu.Lock()
 		waiters := 0
 		for i := range s.queue {
@@ -69,7 +72,7 @@
 		if waiters == 0 || waiters >= s.waiters || closing {
 			return
 		}
-		time.Sleep(50 * time.Microsecond)
+		time.Sleep(leastGather / 4)
 	}
 }
 
