--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -140,7 +140,7 @@
 
 // look reads a folder without changing it.
 func look(folder string, told func(k store.Key, b []byte, gone bool)) (*store.Look, error) {
-	disk, err := store.Disk(folder)
+	disk, err := store.Existing(folder)
 	if err != nil {
 		return nil, err
 	}
@@ -178,7 +178,7 @@
 	repair := &cobra.Command{Use: "repair FOLDER", Short: "Say what a damaged folder must lose to be read again, and with --drop lose it",
 		Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			disk, err := store.Disk(args[0])
+			disk, err := store.Existing(args[0])
 			if err != nil {
 				return err
 			}
--- a/internal/store/fs.go
+++ b/internal/store/fs.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -51,6 +52,16 @@
 	return disk{path}, nil
 }
 
+// Existing is a folder of the system's that is there.
+func Existing(path string) (Folder, error) {
+	if info, err := os.Stat(path); err != nil {
+		return nil, err
+	} else if !info.IsDir() {
+		return nil, fmt.Errorf("%s: expected a folder, found a file", path)
+	}
+	return disk{path}, nil
+}
+
 type diskFile struct{ *os.File }
 
 func (f diskFile) Size() (int64, error) {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -253,6 +253,31 @@
 	s.Close()
 }
 
+// Repair says what must be lost, changes nothing without being told to, loses just that, and keeps the files.
+func TestRepair(t *testing.T) {
+	f := recorded(t)
+	names, _ := f.Names()
+	first := names[0]
+	before := f.Bytes(first)
+	f.Flip(first, 48+3, 1) // the first record of the first segment
+	lost, err := store.Repair(f, false)
+	if err != nil || len(lost) != len(names)-1 || len(f.Bytes(first)) != len(before) {
+		t.Errorf("%q, %v", lost, err)
+	}
+	if lost, err = store.Repair(f, true); err != nil || len(f.Bytes(first)) != 48 || len(f.Bytes(first+".lost")) != len(before) {
+		t.Errorf("%q, %v; %d bytes", lost, err, len(f.Bytes(first)))
+	}
+	got := 0
+	s, _, err := store.Open(f, "g1", small, func(store.Key, []byte, bool) { got++ })
+	if err != nil || got != 0 {
+		t.Fatal(got, err)
+	}
+	s.Close()
+	if lost, err = store.Repair(f, true); err != nil || len(lost) != 0 {
+		t.Errorf("sound again: %q, %v", lost, err)
+	}
+}
+
 // After a sync that failed nothing is taken any more, and what was not said to survive is not claimed to.
 func TestFailedSync(t *testing.T) {
 	f := &faulty.Folder{}
