What waits for a disk that stands still is bounded

Cause: records queued without end while a sync took its time. Change: beyond 65,536 waiting records those that nobody waits for are left out, as a crash may do too, and others are refused, so that loads are nacked. Measured: with the disk held 70,000 look-ups' records return at once, 4,464 are left out, a load's is refused.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -30,6 +30,9 @@
 	gatherShare = 8
 	mostGather  = 2 * time.Millisecond
 	leastGather = 200 * time.Microsecond // a sleep that is shorter takes longer than it says
+	// Records that may wait for the disk: some seconds of a busy gateway, in some megabytes. Beyond, those that nobody waits for
+	// are left out, which a crash might have done too, and the others are refused.
+	mostWaiting = 1 << 16
 	// Live records of the oldest segment are written again at most so fast, so that running writes have the disk.
 	compactBytes = 256 << 10
 	usualRewrite = 20 * time.Millisecond
@@ -39,6 +42,7 @@
 var (
 	ErrFull   = errors.New("the store is full")
 	ErrClosed = errors.New("the store is closed")
+	ErrBehind = errors.New("the disk is too far behind")
 )
 
 // Failed is the error of all writes after one whose end is not known: the system's word for what was written before
@@ -107,7 +111,7 @@
 type Counts struct {
 	Writes, Syncs, Moved int64 // records, syncs, and live records written again
 	Bytes                int64 // written
-	Refused              int64 // for want of room
+	Refused              int64 // for want of room, or as the disk was behind
 }
 
 type write struct {
@@ -400,6 +404,10 @@
 	if s.closing && err == nil {
 		err = ErrClosed
 	}
+	if err == nil && len(s.queue) >= mostWaiting {
+		err = ErrBehind
+		s.counts.Refused++
+	}
 	if err == nil {
 		s.queue = append(s.queue, w)
 	}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -316,6 +316,44 @@
 	}
 }
 
+// A disk that stands still holds nobody up who doesn't wait for it, and what waits for it is bounded.
+func TestBehind(t *testing.T) {
+	f := &faulty.Folder{}
+	begun, through := make(chan bool, 1000), make(chan bool)
+	s, _, err := store.Open(f, "g1", store.Limits{}, func(store.Key, []byte, bool) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.At = func(_ int, what string) error {
+		if strings.HasPrefix(what, "sync ") {
+			begun <- true
+			<-through
+		}
+		return nil
+	}
+	first := make(chan error, 1)
+	s.Put(key(0), []byte("x"), func(err error) { first <- err })
+	<-begun
+	for n := range 70000 {
+		s.Put(key(1+n%100), []byte("x"), nil)
+	}
+	if c := s.Counts(); c.Refused != 70000-1<<16 {
+		t.Errorf("%d refused", c.Refused)
+	}
+	late := make(chan error, 1)
+	s.Put(key(1), []byte("y"), func(err error) { late <- err })
+	if err := <-late; !errors.Is(err, store.ErrBehind) {
+		t.Errorf("%v", err)
+	}
+	close(through)
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // A full disk refuses what finds no room and takes the rest; so does the store's own bound, which deletions may pass.
 func TestFull(t *testing.T) {
 	f := &faulty.Folder{}
