A record's flags are set without a map

Cause: reading the change again, each record made a map for three flags, and recovery set one that was set. Change: plain conditions.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -151,10 +151,7 @@
 		}
 		l.Counts.Recovered++
 		if e.Out {
-			e.Out = false
-			if !e.MayRan {
-				e.MayRan = true
-			}
+			e.Out, e.MayRan = false, true
 		}
 		if e.MayRan {
 			l.Counts.Doubtful++
@@ -352,10 +349,14 @@
 
 func (e *Entry) encode() []byte {
 	flags := byte(0)
-	for bit, set := range map[byte]bool{flagOut: e.Out, flagMayRan: e.MayRan, flagWhole: e.whole} {
-		if set {
-			flags |= bit
-		}
+	if e.Out {
+		flags |= flagOut
+	}
+	if e.MayRan {
+		flags |= flagMayRan
+	}
+	if e.whole {
+		flags |= flagWhole
 	}
 	b := []byte{recordVersion, flags, byte(e.Outcome)}
 	for _, v := range []int64{int64(e.Lane), int64(e.Taken), int64(e.Cutoff), int64(e.Tries), int64(e.DoubtAt), int64(e.Zone), int64(e.Group), int64(e.Over)} {
