A hand-off without a note for a pace and a half is called off as silent

Notes come every 500 ms while work runs (probe of router 0), so silence tells. At fault: handOff's patience as the one end of a hand-off; Due did not look at hand-offs out.

Change: the settings' pace of notes reaches the module (Deployment.Pace); a hand-off that has had no note for 1.5 paces is called off, its engine doubted as by a silent probe; lanes and rules decide what follows.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -481,7 +481,7 @@
 	if s := r.span(); s != nil && t.tries > 0 {
 		s.extra++
 	}
-	t.out, t.engine, t.sentAt = true, to, r.now
+	t.out, t.engine, t.sentAt, t.heardAt = true, to, r.now, r.now
 	r.usual += 0.2 * (learned.work - r.usual) // some five hand-offs
 	t.tries++
 	if r.isCold(e) {
@@ -677,6 +677,9 @@
 		return
 	}
 	t := &r.tasks[i]
+	if t.out && t.tries == n+1 {
+		t.heardAt = now
+	}
 	if news != Progress || !t.out || t.gone || t.tries != n+1 || !r.d.Cancels ||
 		r.d.Lanes[t.lane].Effect != Idempotent || r.spent(t) {
 		return
@@ -880,6 +883,13 @@
 	}
 	for i := range r.tasks {
 		t := &r.tasks[i]
+		// Notes come at their pace while work runs: a hand-off without one for a pace and a half has
+		// hung, or its answer is lost. It is called off, to be tried again where its lane allows.
+		if t.out && r.d.Pace > 0 && 2*(now-t.heardAt) > 3*r.d.Pace {
+			t.heardAt = t.until
+			r.doubt(&r.engines[t.engine], 1.5) // as a silent probe
+			r.host.Cancel(t.id, t.tries-1)
+		}
 		if t.id == "" || t.out {
 			continue
 		}
--- a/internal/admission/deployment.go
+++ b/internal/admission/deployment.go
@@ -29,6 +29,7 @@
 	ExtraShare float64 // this share of the tasks taken
 	ExtraSpan  Time    // in any window of this length
 	Settle     Time    // rest of a key after a doubtful hand-off
+	Pace       Time    // of notes on a running hand-off; 0: none come
 }
 
 // Lane is a class of tasks.
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -19,6 +19,7 @@
 	queued                 bool
 	engine                 int32 // of the last hand-off
 	sentAt, until, doubtAt Time
+	heardAt                Time // of the hand-off out: when it was sent or last had news
 	doubtZone, doubtGroup  int
 	rank                   int
 }
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -57,6 +57,7 @@
 		ExtraShare: s.Num("rules", "resendRatio"),
 		ExtraSpan:  up(s, "rules", "ratioSpanUs"),
 		Settle:     up(s, "rules", "settleAfterDoubtUs"),
+		Pace:       up(s, "familyInfo", "progressPaceUs"),
 	}
 	if s.Flag("limits", "retryAfter") {
 		d.ComeBack = down(s, "limits", "maxRetryAfterUs")
