One step of a bound is the threads of our hand-offs by their time at the engines

Checked and dropped: the bar alone (it follows the starving) and the hopeless call-offs (they end look-ups that would be late anyway). At fault: New's r.step, the mean of the lanes, used by told, signal and stepBound.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -33,7 +33,8 @@
 	lanes      []learned
 	held       int
 	seq        uint64
-	step       float64 // threads of one query: the mean declared for our lanes
+	step       float64 // threads of one query: of our hand-offs in hand at the engines, by their time there
+	stepRun    float64 // the time of hand-offs that ended lately, of which step is the threads
 	takes      []span  // tasks taken and further hand-offs, for the ration
 	credit     float64 // probes that the tasks taken have paid for
 	ran, asked float64 // thread time of tasks that ended lately, and the work they asked for
@@ -530,6 +531,8 @@
 	t.out = false
 	const fade = 0.95 // some twenty answers
 	r.ran, r.asked = fade*r.ran+float64(now-t.sentAt)*threads, fade*r.asked+r.cost(t, work)
+	run := float64(now - t.sentAt)
+	r.step, r.stepRun = (fade*r.stepRun*r.step+run*threads)/max(1, fade*r.stepRun+run), fade*r.stepRun+run
 	e.running -= threads
 	e.memory -= t.memory
 	r.used[t.tenant] -= threads
