At zero, where engines tell held queries, one query goes while they tell room

The chance's pace of 3 was set where engines tell only utilisation, which hides a fill behind idle cores.

Change: in eager, where a report holds inflight and tells room, the chance at zero has no pace; a full engine keeps the floor chance.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -387,10 +387,14 @@
 // eager is how many times an engine's work all gateways together may let in at zero by its busy share: about
 // as much as it can do at three quarters, and still some on one that reports itself full, as reports grow
 // old. Where memory and disks are told too, less hides behind idle cores: 3 there kept long tasks waiting, 8
-// elsewhere filled engines before it showed.
+// elsewhere filled engines before it showed. Where held queries are told, all of it while it tells room.
 func eager(e *engine, busy float64) float64 {
 	pace := 3.0
-	if e.report.Memory >= 0 && e.report.Disks >= 0 {
+	if e.report.Held >= 0 && busy < 1 {
+		// It counts what all gateways hold there: a fill shows in its next report. 8, 14 and 30 here held back
+		// more the lower they were; without a pace one goes while it tells room.
+		return math.Inf(1)
+	} else if e.report.Memory >= 0 && e.report.Disks >= 0 {
 		pace = 8
 	}
 	return max(0.06, pace*(1-busy)/(0.1+busy))
