The step starts as a second of hand-offs at the lanes' mean; tests of the move

Cause: a script test of the chance at zero saw a full engine (9 held on 4 cores) let a task in: the first hand-off had ended in the tick it was sent, and with no weight behind the step's mean it set the step to 0, so held queries counted as nothing (load 0, probe in a test). At fault: the step's sum in Ended, which began from a weight of 0.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -55,7 +55,7 @@
 func New(now Time, seed int64, d *Deployment, host Host) *Router {
 	r := &Router{host: host, d: d, rng: rand.New(rand.NewSource(seed)), now: now, byID: map[TaskID]int32{},
 		turns: map[string]turn{}, named: map[EngineID]int32{}, lanes: make([]learned, len(d.Lanes)),
-		used: make([]float64, max(1, len(d.Tenants))), busy: 0.5, credit: mostCredit,
+		used: make([]float64, max(1, len(d.Tenants))), busy: 0.5, credit: mostCredit, stepRun: float64(Second),
 		ticked: now, pools: []pool{{wanted: now - Second}}}
 	for i := range d.Lanes {
 		l := &d.Lanes[i]
@@ -535,8 +535,9 @@
 	t.out = false
 	const fade = 0.95 // some twenty answers
 	r.ran, r.asked = fade*r.ran+float64(now-t.sentAt)*threads, fade*r.asked+r.cost(t, work)
-	run := float64(now - t.sentAt)
-	r.step, r.stepRun = (fade*r.stepRun*r.step+run*threads)/max(1, fade*r.stepRun+run), fade*r.stepRun+run
+	if run := float64(now - t.sentAt); fade*r.stepRun+run > 0 {
+		r.step, r.stepRun = (fade*r.stepRun*r.step+run*threads)/(fade*r.stepRun+run), fade*r.stepRun+run
+	}
 	e.running -= threads
 	e.memory -= t.memory
 	r.used[t.tenant] -= threads
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -401,6 +401,52 @@
 		s.pass(20 * Millisecond)
 		return s
 	},
+	"silence": func() *script { // notes every 500 ms; one that stops is called off, and the task goes elsewhere
+		d := deployment()
+		d.Pace, d.Cancels = 500*Millisecond, true
+		s := start(d, "e1", "e2")
+		s.engines[0].bound, s.engines[1].bound = 3, 3
+		s.task("a", 1, 0, "")
+		for _, at := range []Time{500, 1000} {
+			s.pass(at * Millisecond)
+			s.say("note on a: it spills")
+			s.Noted(s.at, "a", 0, Spills, 10)
+		}
+		s.pass(1740 * Millisecond)
+		s.say("nothing since the last note")
+		s.pass(1760 * Millisecond)
+		s.end("a", Cancelled)
+		return s
+	},
+	"step by time held": func() *script { // a query is the threads of hand-offs by their time at the engine
+		s := start(deployment(), "e1")
+		s.engines[0].bound = 8
+		s.say("step %.2f: the mean of the lanes", s.step)
+		s.task("long", 1, 0, "")
+		s.task("short", 0, 0, "")
+		s.pass(100 * Millisecond)
+		s.end("short", Delivered)
+		s.pass(2 * Second)
+		s.end("long", Delivered)
+		s.say("step %.2f: nearer to the three threads held most of the time", s.step)
+		return s
+	},
+	"held at zero": func() *script { // an engine that tells held queries lets one in at zero while it has room
+		d := deployment()
+		d.Gateways = 300
+		s := start(d, "e1")
+		s.Ended(0, "none", Delivered, true, 0, 0, NoReport)
+		s.engines[0].report, s.engines[0].reportAt = Report{Held: 2, Util: -1, Memory: -1, Disks: -1}, 0
+		s.engines[0].luck = 1 // a draw that the chance of a pace would turn down
+		s.say("e1 holds 2 queries on 4 cores, bound %.3g", s.engines[0].bound)
+		s.task("a", 0, 0, "")
+		s.end("a", Delivered)
+		s.engines[0].report, s.engines[0].reportAt = Report{Held: 9, Util: -1, Memory: -1, Disks: -1}, s.at
+		s.engines[0].luck = 1
+		s.say("e1 holds 9 queries: full")
+		s.task("b", 0, 0, "")
+		return s
+	},
 	"ranks": func() *script { // by earnings for work
 		d := deployment()
 		d.Ranked = true
