The real router reads load reports from answers, and gateways of both shapes serve side by side

Change: where the settings' stats.how is answers, the gauges of an answer (data, full, failed, moot) go to the module with its end; the pace of notes is checked (below 0: an error naming the field).

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -114,6 +114,7 @@
 	ConnectWithin       time.Duration
 	Pace                time.Duration // of an engine's notes on a hand-off that isn't over; 0: not told
 	IdleClose           time.Duration // engines close connections that were idle for so long
+	AnswersTell         bool          // answers hold the engine's load report, as probes do
 }
 
 // ReadNetwork decodes the part of the settings that the router's sockets rest on.
@@ -125,6 +126,10 @@
 		ConnectWithin: time.Duration(s.Num("limits", "connectTimeoutUs")) * time.Microsecond,
 		Pace:          time.Duration(s.Num("familyInfo", "progressPaceUs")) * time.Microsecond,
 		IdleClose:     time.Duration(s.Num("limits", "keepaliveUs")) * time.Microsecond,
+		AnswersTell:   s.At("stats", "how") == "answers",
+	}
+	if s.Num("familyInfo", "progressPaceUs") < 0 {
+		s.Fail("a time of 0 or more", "familyInfo", "progressPaceUs")
 	}
 	for i := range s.List("classes") {
 		n.Lanes = append(n.Lanes, s.Needed("classes", i, "name"))
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 )
 
@@ -43,6 +44,9 @@
 		`{"name":"n","listen":"l","coordinator":"c","known":{},"seed":"1",
 		 "settings":{"classes":[{"name":"a","effect":"read_like"}]}}`: "field configuration[settings]" +
 			"[limits connectTimeoutUs]: expected a time above 0",
+		`{"name":"n","listen":"l","coordinator":"c","known":{},"seed":"1","settings":{"classes":[{"name":"a",
+		 "effect":"read_like"}],"familyInfo":{"progressPaceUs":-5},"limits":{"connectTimeoutUs":1,"keepaliveUs":1}}}`: "field " +
+			"configuration[settings][familyInfo progressPaceUs]: expected a time of 0 or more",
 	} {
 		if _, err := start(t, text); err == nil || err.Error() != want {
 			t.Errorf("%s: got %v, want %s", text, err, want)
@@ -52,3 +56,23 @@
 		t.Error("a configuration that isn't there was read")
 	}
 }
+
+func TestShape(t *testing.T) { // what the new shape of deployment sets, and what its absence leaves as it was
+	for text, want := range map[string]string{
+		`{}`: "pace 0, answers tell false",
+		`{"familyInfo":{"progressPaceUs":500000},"stats":{"how":"answers","fields":["inflight","x0"]}}`: "pace 5000, " +
+			"answers tell true",
+		`{"stats":{"how":"probe"}}`: "pace 0, answers tell false",
+	} {
+		text = `{"name":"n","listen":"l","coordinator":"c","known":{},"seed":"1","settings":{"classes":[{"name":"a",
+		 "effect":"read_like"}],"limits":{"connectTimeoutUs":1,"keepaliveUs":1},` + text[1:] + `}`
+		text = strings.Replace(text, ",}", "}", 1)
+		s, err := start(t, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := fmt.Sprintf("pace %d, answers tell %v", s.Site.Pace, s.Network.AnswersTell); got != want {
+			t.Errorf("%s: got %s, want %s", text, got, want)
+		}
+	}
+}
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -53,6 +53,9 @@
 	undone := !done && h.undone
 	e.mu.Unlock()
 	word := string(parts[1])
+	if word != "news" && word != "page" && e.o.network.AnswersTell {
+		h.report = resp.Report(fields)
+	}
 	switch {
 	case done: // it came too late, once more, or for nobody
 		return true
--- a/internal/router/desk.go
+++ b/internal/router/desk.go
@@ -49,5 +49,5 @@
 	if o.keep != nil {
 		o.keep.Ledger.Ended(now, h.of.id, how.NeverRan())
 	}
-	o.module.Ended(now, h.of.id, how, over, work, memory, admission.NoReport)
+	o.module.Ended(now, h.of.id, how, over, work, memory, h.report)
 }
--- a/internal/router/handoff.go
+++ b/internal/router/handoff.go
@@ -43,6 +43,7 @@
 	size    int
 	work    admission.Time // as its first page tells, and the memory in MB
 	needs   float64
+	report  admission.Report // the engine's load as its answer tells, where the settings say that answers do
 }
 
 // The states of a hand-off on its way to the socket.
--- /dev/null
+++ b/internal/router/shapes_test.go
@@ -0,0 +1,149 @@
+package router
+
+import (
+	"context"
+	"database/sql"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	driver "github.com/go-sql-driver/mysql"
+
+	"magpiebank/internal/deployment"
+	"magpiebank/internal/standin"
+)
+
+// The two shapes of a deployment during the move, as settings: the old one probes and reads utilisation; the new one
+// may not probe, reads held queries from answers, hears notes every 100 ms, and sends reports to kind a alone.
+const (
+	shapeLanes = `"zones":["hall"],"skus":["a","b"],"familyInfo":{"dop":[1,2],"kindCores":[4,4]%s},
+ "limits":{"cancel":true,"probes":%v,"maxAttempts":3,"multiplex":4,"keepaliveUs":30000000,"connectTimeoutUs":250000,
+  "retryAfter":true,"maxRetryAfterUs":1000000},"rules":{},"stats":{"how":%q,"fields":[%s]}`
+	oldShape = `{"fleetSize":2,"me":0,"classes":[{"name":"look","sloUs":1000000,"worth":1,"effect":"read_like"},
+ {"name":"report","sloUs":2000000,"worth":4,"effect":"read_like"}],` + shapeLanes + `}`
+	newShape = `{"fleetSize":2,"me":1,"classes":[{"name":"look","sloUs":1000000,"worth":1,"effect":"read_like"},
+ {"name":"report","sloUs":2000000,"worth":4,"effect":"read_like","servedOn":[0]}],` + shapeLanes + `}`
+)
+
+// Gateways of both shapes before the same engines: each task gets one answer, reports of the new shape run on
+// kind a only, and neither shape starves the other.
+func TestShapesSide(t *testing.T) {
+	driver.SetLogger(&driver.NopLogger{})
+	kindA, kindB := standin.NewLog(), standin.NewLog()
+	manner := standin.Manner{Threads: 4, Cores: 4, Most: 40, Pace: 100 * time.Millisecond, Works: []standin.Work{
+		{Lane: "look", Service: standin.Spread{Mean: 20 * time.Millisecond}},
+		{Lane: "report", Service: standin.Spread{Mean: 150 * time.Millisecond}}}}
+	var entries []standin.Entry
+	for i, kind := range []string{"a", "a", "b"} {
+		log := kindA
+		if kind == "b" {
+			log = kindB
+		}
+		e, err := standin.StartEngine(fmt.Sprint("e-", i), "127.0.0.1:0", manner, log, uint64(i+1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer e.Close()
+		entries = append(entries, standin.Entry{ID: e.Name, Address: e.Address, Zone: "hall", Kind: kind, State: "Ready"})
+	}
+	list, err := standin.StartList("127.0.0.1:0", entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer list.Close()
+	old := fmt.Sprintf(oldShape, "", true, "probe", `"util"`)
+	new := fmt.Sprintf(newShape, `,"progressPaceUs":100000`, false, "answers", `"inflight"`)
+	var wait sync.WaitGroup
+	delivered := map[string]int{}
+	var mu sync.Mutex
+	for _, g := range []struct{ prefix, settings string }{{"0a", old}, {"0b", new}} {
+		address, stop := startGateway(t, list, g.settings)
+		defer stop()
+		db, err := sql.Open("mysql", "app@tcp("+address+")/reports?timeout=2s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer db.Close()
+		for c := range 4 {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				for n := range 25 {
+					lane := []string{"look", "look", "look", "report"}[n%4]
+					id := fmt.Sprintf("%s%02x%011x%d", g.prefix, c, n, n%4/3) // ends in 1: a report
+					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+					rows, err := db.QueryContext(ctx, "/* class="+lane+",id="+id+",wait=1900 */ SELECT a FROM t.m")
+					if err == nil {
+						for rows.Next() {
+						}
+						err = rows.Err()
+						rows.Close()
+					}
+					cancel()
+					if _, nacked := err.(*driver.MySQLError); err != nil && !nacked {
+						t.Errorf("%s: no answer from the gateway: %v", id, err)
+					}
+					mu.Lock()
+					if err == nil {
+						delivered[g.prefix+" "+lane]++
+					}
+					mu.Unlock()
+				}
+			}()
+		}
+	}
+	wait.Wait()
+	for _, k := range []string{"0a look", "0a report", "0b look", "0b report"} {
+		if most := map[bool]int{true: 75, false: 25}[strings.HasSuffix(k, "look")]; delivered[k] < most*9/10 {
+			t.Errorf("%s: %d of %d delivered", k, delivered[k], most)
+		}
+	}
+	kindB.Each(func(truth standin.Truth) {
+		if strings.HasPrefix(truth.ID, "0b") && strings.HasSuffix(truth.ID, "1") {
+			t.Errorf("%s: a report of the new shape came to kind b", truth.ID)
+		}
+	})
+}
+
+// startGateway serves settings before the engines of a list, until stop.
+func startGateway(t *testing.T, list *standin.List, settings string) (address string, stop func()) {
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address = free.Addr().String()
+	free.Close()
+	path := filepath.Join(t.TempDir(), "configuration.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","coordinator":%q,"known":%s,"settings":%s}`,
+		address, list.Address, list.Known(), settings)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	start, err := deployment.ReadStart(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done, ended := make(chan struct{}), make(chan error, 1)
+	go func() { ended <- Serve(start, With{}, slog.New(slog.NewTextHandler(io.Discard, nil)), done, nil) }()
+	for by := time.Now().Add(5 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if c, err := net.Dial("tcp", address); err == nil {
+			c.Close()
+			break
+		} else if time.Now().After(by) {
+			t.Fatal(err)
+		}
+	}
+	return address, func() {
+		close(done)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
