A silent hand-off is called off only where the settings allow cancels

Seen in the script 'silence' extended with cancels off: a cancel at 2.5 s before the fix. At fault: the condition in Due.

Change: the check asks r.d.Cancels too; the script keeps the case.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -893,7 +893,7 @@
 		t := &r.tasks[i]
 		// Notes come at their pace while work runs: a hand-off without one for a pace and a half has
 		// hung, or its answer is lost. It is called off, to be tried again where its lane allows.
-		if t.out && r.d.Pace > 0 && 2*(now-t.heardAt) > 3*r.d.Pace {
+		if t.out && r.d.Pace > 0 && r.d.Cancels && 2*(now-t.heardAt) > 3*r.d.Pace {
 			t.heardAt = t.until
 			r.doubt(&r.engines[t.engine], 1.5) // as a silent probe
 			r.host.Cancel(t.id, t.tries-1)
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -416,6 +416,9 @@
 		s.say("nothing since the last note")
 		s.pass(1760 * Millisecond)
 		s.end("a", Cancelled)
+		s.say("where nothing may be called off, a silent hand-off runs to its patience")
+		d.Cancels = false
+		s.pass(3700 * Millisecond)
 		return s
 	},
 	"step by time held": func() *script { // a query is the threads of hand-offs by their time at the engine
