Where no utilisation is told, the scarcer of memory and disks steps the bound

Reports there hold queue, x0 and x1 and no util; reported kept e.util at the absent -1, and signal took it as under the low mark, so bounds only rose and engines that swap slowed. At fault: reported's use of report.Util alone.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -816,12 +816,15 @@
 	if report == NoReport || report == e.report {
 		return
 	}
-	heard := now - e.reportAt
+	heard, util := now-e.reportAt, report.Util
+	if util < 0 { // where utilisation isn't told, the scarcer of memory and disks stands in
+		util = max(report.Memory, report.Disks)
+	}
 	if e.report == NoReport {
-		heard, e.util = Second, report.Util
+		heard, e.util = Second, util
 	}
 	// Some three reports make the figure, as one is noisy; one that comes after a long time stands alone.
-	e.util += min(1, max(0.3, float64(heard)/float64(stale))) * (report.Util - e.util)
+	e.util += min(1, max(0.3, float64(heard)/float64(stale))) * (util - e.util)
 	e.report, e.reportAt = report, now
 	r.busy += 0.2 * (min(1, r.told(e)) - r.busy)
 	const age = 400 * Millisecond // of what a report tells, by and large: made now and then, and under way
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -450,6 +450,15 @@
 		s.task("b", 0, 0, "")
 		return s
 	},
+	"memory for utilisation": func() *script { // without utilisation, the scarcer of memory and disks steps the bound
+		s := start(deployment(), "e1")
+		e := &s.engines[0]
+		e.bound, e.running = 3, 3
+		s.probed("e1", Delivered, Report{Held: -1, Util: -1, Memory: 0.97, Disks: 0.4})
+		s.pass(2 * Second)
+		s.probed("e1", Delivered, Report{Held: -1, Util: -1, Memory: 0.2, Disks: 0.3})
+		return s
+	},
 	"ranks": func() *script { // by earnings for work
 		d := deployment()
 		d.Ranked = true
