check prints the shape that a configuration sets: probes, reports in answers, notes

Need: an operator who moves a gateway to the new shape sees what it read before it serves (docs/migration.md, first steps).

Change: magpiebank check prints a second line, 'reports by probe B, in answers B; notes every D'; the example test keeps it.

Measured: go test ./internal/command passes; no decision changed.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -161,6 +161,8 @@
 			}
 			fmt.Fprintf(out, "%s listens on %s, one of %d; lanes %q; engine list at %s\n", start.Name, start.Listen,
 				start.Site.Gateways, start.Network.Lanes, start.EngineList)
+			fmt.Fprintf(out, "reports by probe %v, in answers %v; notes every %v\n", start.Site.Probes,
+				start.Network.AnswersTell, start.Network.Pace)
 			return nil
 		}}
 	from.flags(c, env)
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -30,7 +30,9 @@
 	}
 	// Output:
 	// 0 n0 listens on 127.0.0.1:0, one of 3; lanes ["look"]; engine list at 127.0.0.1:1
+	// reports by probe false, in answers false; notes every 0s
 	// 0 n0 listens on 127.0.0.1:5050, one of 3; lanes ["look"]; engine list at 127.0.0.1:1
+	// reports by probe false, in answers false; notes every 0s
 	// 2 magpiebank: configuration: open DIR/none: no such file or directory
 	// 0 magpiebank 0.1.0
 	// 2 magpiebank: flag log-level: slog: level string "loud": unknown name
