An answer for no task no longer touches a hand-off that isn't there

Cause: rereading the change, answer.go read the gauges of an answer into h.report before the check whether the answer is for anyone: with stats.how answers, an answer for an id no longer open (h nil) dereferenced nil, and one that came after the end wrote to a hand-off the owner may be reading. Seen in the new TestGaugesOfNobody: with the old lines the connection died and the client's task never got its answer (test timed out after 20 s). At fault: the lines added in answer.go before the done/undone switch.

Change: the report is read after that switch, only for a hand-off still open; the test keeps the trace of a stray 'failed' with gauges followed by the task's own answer.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -53,9 +53,6 @@
 	undone := !done && h.undone
 	e.mu.Unlock()
 	word := string(parts[1])
-	if word != "news" && word != "page" && e.o.network.AnswersTell {
-		h.report = resp.Report(fields)
-	}
 	switch {
 	case done: // it came too late, once more, or for nobody
 		return true
@@ -65,6 +62,9 @@
 		}
 		return true
 	}
+	if word != "news" && word != "page" && e.o.network.AnswersTell { // the owner reads it once the end is told
+		h.report = resp.Report(fields)
+	}
 	switch word {
 	case "news":
 		news, value, ok := resp.News(fields)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -609,6 +609,19 @@
 	s.end("odd pages")
 }
 
+func TestGaugesOfNobody(t *testing.T) { // where answers hold reports, one for no task is passed over like its rows
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	s.o.tell(func(admission.Time) { s.o.network.AnswersTell = true })
+	a := s.client()
+	a.look("aa")
+	k := e.hears()
+	e.says(k, "00000000000000ff", "failed", "gauges=inflight:3", "")
+	e.says(k, "00000000000000aa", "data", "pages=1,cost=5,need=1,gauges=inflight:2", "a\tb\tc\n")
+	a.gets()
+	s.end("gauges of nobody")
+}
+
 // A spoilt or missing answer ends its connection, with a code; it says little of the engine, and a task that may run
 // again goes out once more while one that may not is written off. Other tasks have connections of their own.
 func TestSpoilt(t *testing.T) {
