The pace of notes is decoded once: the network code reads the module's figure

Cause: rereading the change, progressPaceUs was decoded twice, into Deployment.Pace for the module and Network.Pace for the links' mute check, against the rule that settings have no second copy.

Change: Network.Pace goes; link.go derives its pace from the site's Deployment.Pace (tenths of a millisecond); check prints it from there.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -162,7 +163,7 @@
 			fmt.Fprintf(out, "%s listens on %s, one of %d; lanes %q; engine list at %s\n", start.Name, start.Listen,
 				start.Site.Gateways, start.Network.Lanes, start.EngineList)
 			fmt.Fprintf(out, "reports by probe %v, in answers %v; notes every %v\n", start.Site.Probes,
-				start.Network.AnswersTell, start.Network.Pace)
+				start.Network.AnswersTell, time.Duration(start.Site.Pace)*100*time.Microsecond)
 			return nil
 		}}
 	from.flags(c, env)
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -112,7 +112,6 @@
 	Longest             []time.Duration // that a lane's client waits; 0: not told
 	Streams             int             // hand-offs that one engine connection carries at the same time
 	ConnectWithin       time.Duration
-	Pace                time.Duration // of an engine's notes on a hand-off that isn't over; 0: not told
 	IdleClose           time.Duration // engines close connections that were idle for so long
 	AnswersTell         bool          // answers hold the engine's load report, as probes do
 }
@@ -124,7 +123,6 @@
 		Kinds:         s.Texts("skus"),
 		Streams:       max(1, int(s.Num("limits", "multiplex"))),
 		ConnectWithin: time.Duration(s.Num("limits", "connectTimeoutUs")) * time.Microsecond,
-		Pace:          time.Duration(s.Num("familyInfo", "progressPaceUs")) * time.Microsecond,
 		IdleClose:     time.Duration(s.Num("limits", "keepaliveUs")) * time.Microsecond,
 		AnswersTell:   s.At("stats", "how") == "answers",
 	}
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -53,7 +53,8 @@
 		}
 	}
 	sooner(now, 0, l.out == 0 && l.e.retired)
-	sooner(l.heard, 2*n.Pace, l.out > 0 && n.Pace > 0)
+	pace := time.Duration(l.e.o.site.Pace) * tenth
+	sooner(l.heard, 2*pace, l.out > 0 && pace > 0)
 	sooner(l.asked, n.ConnectWithin, !l.asked.IsZero())
 	sooner(l.begun, n.ConnectWithin, !l.begun.IsZero())
 	l.tcp.SetReadDeadline(by)
@@ -219,11 +220,11 @@
 func (l *link) rest() (code string) {
 	l.e.mu.Lock()
 	defer l.e.mu.Unlock()
-	n := l.e.o.network
+	pace := time.Duration(l.e.o.site.Pace) * tenth
 	switch {
 	case !l.begun.IsZero():
 		code = "cut_short"
-	case l.silent() || l.out > 0 && n.Pace > 0 && time.Since(l.heard) >= 2*n.Pace:
+	case l.silent() || l.out > 0 && pace > 0 && time.Since(l.heard) >= 2*pace:
 		code = "mute"
 	case l.out == 0 && (l.e.retired || time.Since(l.used) >= l.e.fresh()):
 		code = "idle"
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -645,7 +645,7 @@
 	} {
 		e := newEngineStand(t, "e1")
 		s := play(t, e)
-		s.o.tell(func(admission.Time) { s.o.network.Pace = 50 * time.Millisecond })
+		s.o.tell(func(admission.Time) { s.o.site.Pace = 50 * admission.Millisecond })
 		a := s.client()
 		a.look("aa")
 		k := e.hears()
