A query's threads come from the thread time already kept; the bar's flag resets where read

Change: query() is r.ran over r.runs, the time out of the same hand-offs, which starts so that a query begins at the lanes' mean threads and is kept in proportion by Recall; ends in the tick they went out change neither sum (they held nothing).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -33,11 +33,10 @@
 	lanes      []learned
 	held       int
 	seq        uint64
-	step       float64 // threads of one query: of our hand-offs in hand at the engines, by their time there
-	stepRun    float64 // the time of hand-offs that ended lately, of which step is the threads
 	takes      []span  // tasks taken and further hand-offs, for the ration
 	credit     float64 // probes that the tasks taken have paid for
 	ran, asked float64 // thread time of tasks that ended lately, and the work they asked for
+	runs       float64 // and their time out: ran over it is the threads of one query, as held (query)
 	usual      float64 // work of the tasks sent lately
 	busy       float64 // of engines by their latest reports: what one without a fresh report counts as
 	bestPrice  float64 // of a usual task of the best lane
@@ -55,17 +54,18 @@
 func New(now Time, seed int64, d *Deployment, host Host) *Router {
 	r := &Router{host: host, d: d, rng: rand.New(rand.NewSource(seed)), now: now, byID: map[TaskID]int32{},
 		turns: map[string]turn{}, named: map[EngineID]int32{}, lanes: make([]learned, len(d.Lanes)),
-		used: make([]float64, max(1, len(d.Tenants))), busy: 0.5, credit: mostCredit, stepRun: float64(Second),
+		used: make([]float64, max(1, len(d.Tenants))), busy: 0.5, credit: mostCredit,
 		ticked: now, pools: []pool{{wanted: now - Second}}}
 	for i := range d.Lanes {
 		l := &d.Lanes[i]
 		r.ran, r.asked = r.ran+float64(l.Quoted), r.asked+float64(l.Quoted)
-		r.step += float64(l.Threads) / float64(len(d.Lanes))
+		r.runs += float64(l.Threads) / float64(len(d.Lanes)) // the lanes' mean threads, until the loop ends
 		r.ladder = append(r.ladder, i)
 		run := float64(l.Quoted) / 3 // until answers tell: users quote with room to wait
 		r.lanes[i] = learned{run: run, work: run * float64(l.Threads), ease: 1, rank: 1}
 		r.usual += r.lanes[i].work / float64(len(d.Lanes))
 	}
+	r.runs = r.ran / r.runs // so that a query begins at the lanes' mean threads
 	slices.SortStableFunc(r.ladder, func(a, b int) int {
 		return cmp.Compare(d.Lanes[b].Earnings, d.Lanes[a].Earnings)
 	})
@@ -104,7 +104,7 @@
 		}
 	}
 	if m.Ran > 0 && m.Asked > 0 && m.Usual > 0 {
-		r.ran, r.asked, r.usual, r.busy = m.Ran, m.Asked, m.Usual, m.Busy
+		r.runs, r.ran, r.asked, r.usual, r.busy = r.runs*m.Ran/r.ran, m.Ran, m.Asked, m.Usual, m.Busy
 	}
 	r.pools[0].bar = m.Bar * weight
 	for _, s := range m.Takes {
@@ -252,7 +252,7 @@
 	const rise, fall = 1.06, 0.97     // a tick: doubled in a quarter of a second, halved in twice that
 	const lowest, highest = 0.02, 1.5 // of the best lane's price, whose usual tasks pass all the same
 	if p.starving {
-		p.bar = min(highest, max(lowest, p.bar*rise))
+		p.bar, p.starving = min(highest, max(lowest, p.bar*rise)), false
 	} else if p.bar *= fall; p.bar < lowest {
 		p.bar = 0 // nobody waits long: what earns next to nothing for its work passes, too
 	}
@@ -353,7 +353,7 @@
 // take long: where answers tell work, the share counts as many times as tasks took of their work lately.
 func (r *Router) told(e *engine) float64 {
 	if e.report.Held >= 0 {
-		return e.report.Held / e.cores * r.step / threshold
+		return e.report.Held / e.cores * r.query() / threshold
 	}
 	share := max(e.util, e.report.Memory, e.report.Disks)
 	if r.d.TellsCost {
@@ -387,12 +387,11 @@
 // eager is how many times an engine's work all gateways together may let in at zero by its busy share: about
 // as much as it can do at three quarters, and still some on one that reports itself full, as reports grow
 // old. Where memory and disks are told too, less hides behind idle cores: 3 there kept long tasks waiting, 8
-// elsewhere filled engines before it showed. Where held queries are told, all of it while it tells room.
+// elsewhere filled engines before it showed. Where held queries are told, a fill shows in the next report: no
+// pace while it tells room, as 8, 14 and 30 held back the more, the lower they were.
 func eager(e *engine, busy float64) float64 {
 	pace := 3.0
 	if e.report.Held >= 0 && busy < 1 {
-		// It counts what all gateways hold there: a fill shows in its next report. 8, 14 and 30 here held back
-		// more the lower they were; without a pace one goes while it tells room.
 		return math.Inf(1)
 	} else if e.report.Memory >= 0 && e.report.Disks >= 0 {
 		pace = 8
@@ -533,10 +532,9 @@
 	e, l := &r.engines[t.engine], &r.d.Lanes[t.lane]
 	threads := float64(l.Threads)
 	t.out = false
-	const fade = 0.95 // some twenty answers
-	r.ran, r.asked = fade*r.ran+float64(now-t.sentAt)*threads, fade*r.asked+r.cost(t, work)
-	if run := float64(now - t.sentAt); fade*r.stepRun+run > 0 {
-		r.step, r.stepRun = (fade*r.stepRun*r.step+run*threads)/(fade*r.stepRun+run), fade*r.stepRun+run
+	const fade = 0.95 // some twenty answers; what ends in the tick that it went out tells of no time held
+	if run := float64(now - t.sentAt); run > 0 {
+		r.ran, r.asked, r.runs = fade*r.ran+run*threads, fade*r.asked+r.cost(t, work), fade*r.runs+run
 	}
 	e.running -= threads
 	e.memory -= t.memory
@@ -702,9 +700,12 @@
 	}
 }
 
-// The signal's threshold: held queries a core times the threads of one (step).
+// The signal's threshold: held queries a core times the threads of one (query).
 const threshold = 2
 
+// query is what a held query stands for: threads of our hand-offs by their time out; the lanes' at first.
+func (r *Router) query() float64 { return r.ran / r.runs }
+
 // wanted tells whether a task of an engine's pools was given up for want of room within the last second.
 func (r *Router) wanted(e *engine) bool {
 	for n := range r.pools {
@@ -724,7 +725,7 @@
 	case r.now-e.reportAt >= stale:
 		return e.running * float64(r.d.Gateways) / e.cores
 	case e.report.Held >= 0:
-		signal = e.report.Held / e.cores * r.step
+		signal = e.report.Held / e.cores * r.query()
 	case e.util > high:
 		return threshold
 	case e.memory*float64(r.d.Gateways) > halfPart*e.size:
@@ -751,11 +752,11 @@
 func (r *Router) stepBound(e *engine, signal float64, heard Time) {
 	if signal >= threshold {
 		if e.running > 0 {
-			e.bound = max(0, e.bound-r.step)
+			e.bound = max(0, e.bound-r.query())
 		}
 	} else if signal <= threshold/2.0 && e.running >= e.bound &&
 		r.rng.Float64()*float64(r.d.Gateways)*min(1, float64(Second)/float64(heard)) < 1 {
-		e.bound += r.step
+		e.bound += r.query()
 	}
 	e.steppedAt = r.now
 }
@@ -799,10 +800,8 @@
 	if !ok {
 		return
 	}
-	e := &r.engines[i]
-	e.probing = false
-	if how != Delivered {
-		r.doubt(e, 1.5)
+	if r.engines[i].probing = false; how != Delivered {
+		r.doubt(&r.engines[i], 1.5)
 		return
 	}
 	r.reported(i, report)
@@ -816,10 +815,7 @@
 	if report == NoReport || report == e.report {
 		return
 	}
-	heard, util := now-e.reportAt, report.Util
-	if util < 0 { // where utilisation isn't told, the scarcer of memory and disks stands in
-		util = max(report.Memory, report.Disks)
-	}
+	heard, util := now-e.reportAt, max(report.Util, report.Memory, report.Disks) // what is scarcest counts
 	if e.report == NoReport {
 		heard, e.util = Second, util
 	}
@@ -844,8 +840,7 @@
 )
 
 func (r *Router) doubt(e *engine, points float64) {
-	e.distrust = min(mostDoubted, r.score(e)+points)
-	e.distrustAt = r.now
+	e.distrust, e.distrustAt = min(mostDoubted, r.score(e)+points), r.now
 	if e.distrust-r.leastDistrust(0) >= shut && (e.saidAt == 0 || r.now-e.saidAt >= 10*Second) {
 		e.saidAt = r.now // a person acts on the first line
 		r.host.Say(fmt.Sprintf("engine %s distrusted: no new tasks until the score fades", e.Engine))
@@ -889,14 +884,10 @@
 			r.stepBound(e, r.signal(e), Second)
 		}
 	}
-	for n := range r.pools {
-		r.pools[n].starving = false
-	}
 	for i := range r.tasks {
 		t := &r.tasks[i]
-		// Notes come at their pace while work runs: a hand-off without one for a pace and a half has
-		// hung, or its answer is lost. It is called off, to be tried again where its lane allows. Two paces
-		// waited longer for nothing (leerkaart quick 0.735 to 0.725).
+		// Notes come at their pace while work runs: one without any for a pace and a half has hung, or its answer
+		// is lost; it is called off, to go again as its lane allows. Two paces lost (leerkaart quick 0.735, 0.725).
 		if t.out && r.d.Pace > 0 && r.d.Cancels && 2*(now-t.heardAt) > 3*r.d.Pace {
 			t.heardAt = t.until
 			r.doubt(&r.engines[t.engine], 1.5) // as a silent probe
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -424,14 +424,14 @@
 	"step by time held": func() *script { // a query is the threads of hand-offs by their time at the engine
 		s := start(deployment(), "e1")
 		s.engines[0].bound = 8
-		s.say("step %.2f: the mean of the lanes", s.step)
+		s.say("step %.2f: the mean of the lanes", s.query())
 		s.task("long", 1, 0, "")
 		s.task("short", 0, 0, "")
 		s.pass(100 * Millisecond)
 		s.end("short", Delivered)
 		s.pass(2 * Second)
 		s.end("long", Delivered)
-		s.say("step %.2f: nearer to the three threads held most of the time", s.step)
+		s.say("step %.2f: nearer to the three threads held most of the time", s.query())
 		return s
 	},
 	"held at zero": func() *script { // an engine that tells held queries lets one in at zero while it has room
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -27,7 +27,7 @@
 // pool is a part of the fleet that an operator keeps for some classes; the first is all of it.
 type pool struct {
 	bar      float64 // least price of a task taken on, as a part of the best lane's
-	starving bool    // a held task has used up much of its time
+	starving bool    // a held task has used up much of its time, since the bar last moved
 	wanted   Time    // when a held task was last given up for want of room
 }
 
