A configuration whose stats.how is none of answers, probe or none is refused at start

Cause: rereading the change, the router took reports from answers only where stats.how was exactly 'answers'; any other text, such as a typo, passed in silence and left the gateway without the reports that the operator asked for. Bad input is to be refused with its place and cause.

Change: ReadNetwork checks stats.how against the wire's three values (absent stays allowed); TestAmiss keeps 'answer' refused with 'field configuration[settings][stats how]: expected answers, probe or none'.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -126,6 +126,11 @@
 		IdleClose:     time.Duration(s.Num("limits", "keepaliveUs")) * time.Microsecond,
 		AnswersTell:   s.At("stats", "how") == "answers",
 	}
+	switch s.At("stats", "how") {
+	case nil, "answers", "probe", "none":
+	default:
+		s.Fail("answers, probe or none", "stats", "how")
+	}
 	if s.Num("familyInfo", "progressPaceUs") < 0 {
 		s.Fail("a time of 0 or more", "familyInfo", "progressPaceUs")
 	}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -47,6 +47,9 @@
 		`{"name":"n","listen":"l","coordinator":"c","known":{},"seed":"1","settings":{"classes":[{"name":"a",
 		 "effect":"read_like"}],"familyInfo":{"progressPaceUs":-5},"limits":{"connectTimeoutUs":1,"keepaliveUs":1}}}`: "field " +
 			"configuration[settings][familyInfo progressPaceUs]: expected a time of 0 or more",
+		`{"name":"n","listen":"l","coordinator":"c","known":{},"seed":"1","settings":{"classes":[{"name":"a",
+		 "effect":"read_like"}],"stats":{"how":"answer"},"limits":{"connectTimeoutUs":1,"keepaliveUs":1}}}`: "field " +
+			"configuration[settings][stats how]: expected answers, probe or none",
 	} {
 		if _, err := start(t, text); err == nil || err.Error() != want {
 			t.Errorf("%s: got %v, want %s", text, err, want)
