Both shapes side by side: the drain holds too; TestDriver starts its gateway as they do

And the new test's start of a gateway wrote again what TestDriver had inline.

Change: TestShapesSide marks the engine of kind b as draining after 1 s; no task may reach it later than 500 ms after the list said so (the rule allows 2 s; the module stops on hearing), and it must have had tasks before, so that the check can fail. Clients send 160 tasks a shape. TestDriver uses startGateway; its own copy of the start goes.

--- a/internal/router/driver_test.go
+++ b/internal/router/driver_test.go
@@ -5,17 +5,11 @@
 	"database/sql"
 	"errors"
 	"fmt"
-	"io"
-	"log/slog"
-	"net"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	driver "github.com/go-sql-driver/mysql"
 
-	"magpiebank/internal/deployment"
 	"magpiebank/internal/standin"
 )
 
@@ -35,25 +29,7 @@
 		t.Fatal(err)
 	}
 	defer list.Close()
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := free.Addr().String()
-	free.Close()
-	path := filepath.Join(t.TempDir(), "configuration.json")
-	text := fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","coordinator":%q,"known":%s,"settings":%s}`, address, list.Address, list.Known(), settings)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	start, err := deployment.ReadStart(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	stop, ended := make(chan struct{}), make(chan error)
-	go func() {
-		ended <- Serve(start, With{}, slog.New(slog.NewTextHandler(io.Discard, nil)), stop, nil)
-	}()
+	address, stop := startGateway(t, list, settings)
 	db, err := sql.Open("mysql", "app@tcp("+address+")/reports?timeout=2s")
 	if err != nil {
 		t.Fatal(err)
@@ -112,10 +88,7 @@
 		}
 	}
 	db.Close()
-	close(stop)
-	if err := <-ended; err != nil {
-		t.Error(err)
-	}
+	stop()
 }
 
 func Example_lull() { // lines of a list that is away and asked four times a second, in seconds
--- a/internal/router/shapes_test.go
+++ b/internal/router/shapes_test.go
@@ -33,7 +33,8 @@
 )
 
 // Gateways of both shapes before the same engines: each task gets one answer, reports of the new shape run on
-// kind a only, and neither shape starves the other.
+// kind a only, neither shape starves the other, and once the list says that the engine of kind b drains, neither
+// sends it more.
 func TestShapesSide(t *testing.T) {
 	driver.SetLogger(&driver.NopLogger{})
 	kindA, kindB := standin.NewLog(), standin.NewLog()
@@ -63,6 +64,17 @@
 	var wait sync.WaitGroup
 	delivered := map[string]int{}
 	var mu sync.Mutex
+	var drained time.Time
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		time.Sleep(time.Second)
+		mu.Lock()
+		drained = time.Now()
+		mu.Unlock()
+		entries[2].State = "Terminating"
+		list.Tell(entries[2])
+	}()
 	for _, g := range []struct{ prefix, settings string }{{"0a", old}, {"0b", new}} {
 		address, stop := startGateway(t, list, g.settings)
 		defer stop()
@@ -75,7 +87,7 @@
 			wait.Add(1)
 			go func() {
 				defer wait.Done()
-				for n := range 25 {
+				for n := range 40 {
 					lane := []string{"look", "look", "look", "report"}[n%4]
 					id := fmt.Sprintf("%s%02x%011x%d", g.prefix, c, n, n%4/3) // ends in 1: a report
 					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -101,15 +113,28 @@
 	}
 	wait.Wait()
 	for _, k := range []string{"0a look", "0a report", "0b look", "0b report"} {
-		if most := map[bool]int{true: 75, false: 25}[strings.HasSuffix(k, "look")]; delivered[k] < most*9/10 {
+		if most := map[bool]int{true: 120, false: 40}[strings.HasSuffix(k, "look")]; delivered[k] < most*9/10 {
 			t.Errorf("%s: %d of %d delivered", k, delivered[k], most)
 		}
 	}
+	const heard = 500 * time.Millisecond // the list answers a waiting poll at once; the module stops on hearing it
+	late, before := 0, 0
 	kindB.Each(func(truth standin.Truth) {
 		if strings.HasPrefix(truth.ID, "0b") && strings.HasSuffix(truth.ID, "1") {
 			t.Errorf("%s: a report of the new shape came to kind b", truth.ID)
 		}
+		if truth.Came.After(drained.Add(heard)) {
+			late++
+		} else if truth.Came.Before(drained) {
+			before++
+		}
 	})
+	if before == 0 {
+		t.Error("the engine of kind b had no task before its drain, so the drain was not tried")
+	}
+	if late > 0 {
+		t.Errorf("%d tasks came to the draining engine later than %v after the list said so", late, heard)
+	}
 }
 
 // startGateway serves settings before the engines of a list, until stop.
