--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -274,7 +274,7 @@
 		work, lane, tenant := w.micros("estimateUs"), int(w.num("profile")), int(w.num("realm"))
 		key := strings.Clone(w.opt("object"))
 		options := w.num("options")
-		w.real("footprintMb")
+		memory := w.real("footprintMb")
 		if i != nil && (lane < 0 || lane >= i.lanes) {
 			w.fail("profile", "a class of the settings")
 		}
@@ -282,7 +282,7 @@
 			work = 0
 		}
 		call = func(r *admission.Router) {
-			r.Arrived(now, id, cutoff, lane, tenant, key, tables, admission.Foreseen{Work: work})
+			r.Arrived(now, id, cutoff, lane, tenant, key, tables, admission.Foreseen{Work: work, Memory: memory})
 		}
 	case "accepted":
 		// A stream that broke comes back finished, so its start asks for no decision.
