--- /dev/null
+++ b/internal/consensus/consensus_test.go
@@ -0,0 +1,268 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// cluster is some voters in one process and virtual time: ticks, messages that are lost, late and doubled, voters that are killed at
+// any time, with disks that have what was saved and any first part of what was not.
+type cluster struct {
+	t       *testing.T
+	chance  *rand.Rand
+	now     int
+	mail    []letter
+	voters  []*voter
+	loss    float64
+	cut     func(from, to uint64) bool
+	decided [][]byte // by index, as the first to be told has it
+	next    uint64   // value to be appended
+	asks    map[uint64]uint64
+	asked   uint64
+	reads   int
+}
+
+type letter struct {
+	at       int
+	from, to uint64
+	b        []byte
+}
+
+type voter struct {
+	c       *cluster
+	id      uint64
+	node    *Node
+	up      bool
+	disk    []Record // what survives
+	behind  []Record // what is under way
+	done    []func(error)
+	doneAt  []int // how much of behind each waits for
+	slow    int   // one sync in so many ticks
+	applied []byte
+	at      uint64
+	forgot  bool
+}
+
+func newCluster(t *testing.T, seed uint64, n int) *cluster {
+	c := &cluster{t: t, chance: rand.New(rand.NewPCG(seed, 1)), asks: map[uint64]uint64{}}
+	for i := range n {
+		c.voters = append(c.voters, &voter{c: c, id: uint64(i + 1), slow: 1})
+	}
+	for _, v := range c.voters {
+		v.begin()
+		var ids []uint64
+		for i := range n {
+			ids = append(ids, uint64(i+1))
+		}
+		if err := v.node.Begin(ids, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return c
+}
+
+func (v *voter) begin() {
+	var f Found
+	last := map[[16]byte]int{}
+	for i, r := range v.disk {
+		last[r.Key] = i
+	}
+	for i, r := range v.disk {
+		if last[r.Key] == i || r.Value == nil {
+			f.Take(r.Key, r.Value, r.Value == nil)
+		}
+	}
+	v.up, v.applied, v.at = true, nil, 0
+	var err error
+	if v.node, err = New(v.id, &f, rand.New(rand.NewPCG(v.c.chance.Uint64(), 2)), v); err != nil {
+		v.c.t.Fatalf("voter %d: %v", v.id, err)
+	}
+}
+
+func (v *voter) kill() {
+	v.up = false
+	v.disk = append(v.disk, v.behind[:v.c.chance.IntN(len(v.behind)+1)]...)
+	v.behind, v.done, v.doneAt = nil, nil, nil
+}
+
+func (v *voter) Send(to uint64, m []byte) {
+	c := v.c
+	for range 1 + c.chance.IntN(20)/19 {
+		if c.chance.Float64() >= c.loss && (c.cut == nil || !c.cut(v.id, to)) {
+			c.mail = append(c.mail, letter{c.now + c.chance.IntN(3), v.id, to, m})
+		}
+	}
+}
+
+func (v *voter) Save(records []Record, done func(error)) {
+	v.behind = append(v.behind, records...)
+	v.done, v.doneAt = append(v.done, done), append(v.doneAt, len(records))
+}
+
+// Applied takes in a decision: nobody is ever told another one at the same place.
+func (v *voter) Applied(index uint64, entry []byte) {
+	c := v.c
+	for uint64(len(c.decided)) <= index {
+		c.decided = append(c.decided, nil)
+	}
+	if c.decided[index] == nil {
+		c.decided[index] = entry
+	} else if string(c.decided[index]) != string(entry) {
+		c.t.Fatalf("at %d: %x was decided, voter %d is told %x", index, c.decided[index], v.id, entry)
+	}
+	v.applied, v.at = append(v.applied, entry...), index
+}
+
+func (v *voter) Changed(index uint64, context []byte, voters, learners []uint64) {}
+func (v *voter) Installed(index uint64, state []byte)                            { v.applied, v.at = slices.Clone(state), index }
+func (v *voter) State() []byte                                                   { return slices.Clone(v.applied) }
+func (v *voter) Led(term uint64)                                                 {}
+func (v *voter) Forgot()                                                         { v.forgot = true }
+
+func (v *voter) Confirmed(read uint64) {
+	if v.at < v.c.asks[read] {
+		v.c.t.Fatalf("voter %d: read %d was asked when %d entries were decided, and is confirmed with %d", v.id, read, v.c.asks[read], v.at)
+	}
+	v.c.reads++
+}
+
+// pass plays some ticks.
+func (c *cluster) pass(ticks int, each func()) {
+	for range ticks {
+		c.now++
+		mail := c.mail
+		c.mail = nil
+		for _, l := range mail {
+			v := c.voters[l.to-1]
+			if l.at > c.now {
+				c.mail = append(c.mail, l)
+			} else if v.up {
+				if err := v.node.Heard(l.b); err != nil {
+					c.t.Fatal(err)
+				}
+			}
+		}
+		for _, v := range c.voters {
+			if !v.up {
+				continue
+			}
+			if c.now%v.slow == 0 {
+				done := v.done
+				v.disk, v.behind, v.done, v.doneAt = append(v.disk, v.behind...), nil, nil, nil
+				for _, d := range done {
+					d(nil)
+				}
+			}
+			v.node.Tick()
+			if c.chance.IntN(4) == 0 {
+				c.next++
+				v.node.Append(binary.BigEndian.AppendUint64(nil, c.next))
+			}
+			if c.chance.IntN(4) == 0 {
+				c.asked++
+				c.asks[c.asked] = uint64(max(0, len(c.decided)-1))
+				v.node.Confirm(c.asked)
+			}
+		}
+		each()
+	}
+}
+
+// Whatever is lost, late, doubled, cut and killed: one sequence of decisions, and a read that is confirmed has seen all of it.
+func TestOneLog(t *testing.T) {
+	for seed := range uint64(30) {
+		c := newCluster(t, seed, 3+2*int(seed%2))
+		n := len(c.voters)
+		c.pass(100, func() {})
+		for range 12 {
+			c.loss = 0.3 * c.chance.Float64()
+			lonely := uint64(c.chance.IntN(n + 1))
+			oneWay := c.chance.IntN(2) == 0
+			c.cut = func(from, to uint64) bool { return from == lonely || !oneWay && to == lonely }
+			for _, v := range c.voters {
+				v.slow = 1 + c.chance.IntN(2)*c.chance.IntN(8)
+			}
+			c.pass(60, func() {
+				for _, v := range c.voters {
+					if v.up && c.chance.IntN(300) == 0 {
+						v.kill()
+					} else if !v.up && c.chance.IntN(40) == 0 {
+						v.begin()
+					}
+				}
+			})
+		}
+		if len(c.decided) < 60 || c.reads < 40 {
+			t.Errorf("seed %d: only %d decisions and %d reads", seed, len(c.decided), c.reads)
+		}
+		c.cut, c.loss = nil, 0
+		for _, v := range c.voters {
+			if v.slow = 1; !v.up {
+				v.begin()
+			}
+		}
+		c.pass(200, func() {})
+		before := len(c.decided)
+		c.pass(60, func() {})
+		if len(c.decided) == before {
+			t.Errorf("seed %d: all hear each other, and nothing is decided", seed)
+		}
+		for _, v := range c.voters {
+			if v.forgot || v.at+64 < c.voters[0].at {
+				t.Errorf("seed %d: voter %d forgot %t, at %d of %d", seed, v.id, v.forgot, v.at, len(c.decided))
+			}
+		}
+	}
+}
+
+// A voter whose folder is an older one finds that out, and takes no part; a newcomer takes its place, by one change.
+func TestForgotten(t *testing.T) {
+	c := newCluster(t, 7, 3)
+	c.pass(100, func() {})
+	follower := slices.IndexFunc(c.voters, func(v *voter) bool { return !v.node.Leads() })
+	gone := c.voters[follower]
+	old := slices.Clone(gone.disk)
+	c.pass(100, func() {})
+	gone.kill()
+	gone.disk = old
+	gone.begin()
+	c.pass(60, func() {})
+	if !gone.forgot {
+		t.Error("an older folder was not found out")
+	}
+	gone.up = false
+	c.voters = append(c.voters, &voter{c: c, id: 4, slow: 1})
+	c.voters[3].begin()
+	learned := false
+	c.pass(200, func() {
+		for _, v := range c.voters {
+			switch {
+			case !v.up || !v.node.Leads():
+			case !learned:
+				learned = v.node.Change(nil, []uint64{4}, nil, nil)
+			case v.node.Near(4) && c.now%10 == 0:
+				v.node.Change([]byte("four for one"), nil, []uint64{4}, []uint64{gone.id})
+			}
+		}
+	})
+	voters, learners := c.voters[3].node.Voters()
+	c.voters[(follower+1)%3].kill() // two of the three that are there now decide
+	before := len(c.decided)
+	c.pass(200, func() {})
+	if len(voters) != 3 || slices.Contains(voters, gone.id) || !slices.Contains(voters, 4) || len(learners) > 0 || len(c.decided) == before {
+		t.Errorf("voters %v, learners %v; decisions %d, then %d", voters, learners, before, len(c.decided))
+	}
+}
+
+func TestBadMessage(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	if c.voters[0].node.Heard([]byte{0xff, 1, 2}) == nil {
+		t.Error("no message was taken for one")
+	}
+	c.pass(50, func() {})
+	if len(c.decided) == 0 {
+		t.Error("a voter alone decides nothing")
+	}
+}
