Who asked for rights in vain hears of a task's end at once, not at the next tick

Change: the purse tells the owner's goroutine whether somebody asked in vain lately, which wakes the fleet's goroutine.

--- a/internal/budget/purse.go
+++ b/internal/budget/purse.go
@@ -85,11 +85,12 @@
 	return ok
 }
 
-// Done ends a use.
-func (p *Purse) Done(now Time, budget int, amount int64) {
+// Done ends a use; awaited: others asked for some of a budget in vain lately.
+func (p *Purse) Done(now Time, budget int, amount int64) (awaited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.core.Done(now, budget, amount)
+	return len(p.core.denied) > 0
 }
 
 // Want tells how much waiting tasks would use, and that the owner has gone on from what it was promised.
--- a/internal/fleet/planted_on.go
+++ b/internal/fleet/planted_on.go
@@ -46,7 +46,7 @@
 	return ok
 }
 
-func (a asking) Done(now admission.Time, b int, amount int64) {
+func (a asking) Done(now admission.Time, b int, amount int64) bool {
 	a.Core.Done(now, b, amount)
-	a.box.Put(func() {})
+	return true
 }
--- a/internal/fleet/rights.go
+++ b/internal/fleet/rights.go
@@ -28,7 +28,7 @@
 	Heard(now admission.Time, m budget.Message) (more bool)
 	Open(now admission.Time, b int, amount int64, length admission.Time) bool
 	Take(now admission.Time, b int, amount int64, length admission.Time) bool
-	Done(now admission.Time, b int, amount int64)
+	Done(now admission.Time, b int, amount int64) (awaited bool)
 	Want(now admission.Time, b int, amount int64)
 	Rate(now admission.Time, b int, need int64) (n int64, until admission.Time)
 	Shrink(now admission.Time, b int, part float64)
@@ -153,7 +153,9 @@
 
 // Done ends a use.
 func (f *Fleet) Done(now admission.Time, b int, amount int64) {
-	f.shares.Done(now, b, amount)
+	if f.shares.Done(now, b, amount) {
+		f.box.Put(func() {}) // others asked for it in vain: they are told at once
+	}
 	f.history.Write(history.Event{What: history.Done, Code: f.called(b), Number: int(amount)})
 }
 
