--- /dev/null
+++ b/internal/charter/lead.go
@@ -0,0 +1,607 @@
+package charter
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+const (
+	// So long all have to give up what they hold, before it is given to them again: some round trips, and what is on its way to engines.
+	yieldFor = second / 4
+	// An entry that was not decided after this long is appended anew; one that was meanwhile changes nothing a second time.
+	againAfter = second
+	// Who has had no answer to so many asks is taken for silent, though it is heard.
+	deafAfter = 8
+	// A probation looks at no share of fewer tasks.
+	leastTasks = 50
+	mostGuests = 2048
+	mostWaits  = 8
+)
+
+type phase uint8
+
+const (
+	taking   phase = iota // members fetch a proposal, look at it and keep it; leases on the old policy go on
+	trying                // they try it on live tasks
+	yielding              // they give up what they hold
+	deciding              // nobody holds anything, and the decision is on its way through the log
+)
+
+// guest is a member as the leader knows it.
+type guest struct {
+	name    string
+	start   uint64
+	seq     uint32
+	ask     ask
+	heardAt Time
+	until   Time // by then its lease has surely ended
+	both    Time // and what it may go by besides
+	bothID  uint64
+	bothSeq uint32 // the latest ask that was answered so,
+	gaveSeq uint32 // or with a lease
+	out     bool   // it took no part in time: nothing is given to it until it is heard to hear
+	outSeq  uint32 // its last ask by then
+	waits   bool   // its ask has had no answer
+	read    uint64 // whose answer it waits for
+}
+
+// lead is what a leader knows while it leads; nothing of it is handed on.
+type lead struct {
+	term     uint64
+	began    Time
+	clear    Time // by then all leases that leaders before it gave have ended
+	proved   bool // somebody holds a lease on what this one knows as decided: so nothing later has been
+	behind   bool // somebody has gone by more than is known here
+	guests   []guest
+	reading  uint64 // the question to a majority that is out; 0: none
+	readAt   Time
+	reads    uint64
+	phase    phase
+	since    Time // of the phase
+	opened   Time // when the proposal was
+	tried    bool
+	begun    []Count // at the members, when the rehearsal began here
+	wrote    string  // the entry on its way
+	wroteAt  Time
+	watched  uint64 // the probation that is watched,
+	watchAt  Time   // since when
+	waiting  []waiting
+	tendAt   Time
+	missed   uint64 // a voter that is not heard, whose place another could take,
+	missedAt Time   // since when
+}
+
+// waiting is a proposal whose text is on its way.
+type waiting struct {
+	from string
+	propose
+	at Time
+}
+
+// led begins to lead, or ends it.
+func (v *voter) led(c *Core, term uint64) {
+	if term == 0 {
+		v.lead = nil
+		return
+	}
+	l := &lead{term: term, opened: c.now, since: c.now, began: c.now}
+	if l.clear = c.now + c.plan.margin(v.book.Lease); c.plan.planted == noWait {
+		l.clear = c.now
+	}
+	v.lead = l
+	c.host.Say(Leads, "term", term, "number", v.book.Number)
+	for _, to := range c.host.Others() {
+		c.send(to, message{Answer: v.word(c, nil)})
+	}
+	c.send(c.name, message{Answer: v.word(c, nil)})
+}
+
+// word is what the leader says to one member, or to all.
+func (v *voter) word(c *Core, g *guest) *answer {
+	b := &v.book
+	a := &answer{Leader: c.name, At: b.mark(), Digest: b.Digest, Size: b.Size, State: v.state(c)}
+	for _, k := range b.Voters {
+		a.Voters = append(a.Voters, k.Name)
+	}
+	if p := b.Open; p != nil {
+		a.Open = &open{ID: p.ID, Digest: p.Digest, Size: p.Size, Trial: v.lead.phase == trying, Sources: v.sources(c, g)}
+	}
+	return a
+}
+
+// sources are a few members that have the proposal's text: others in turn, so that not all ask the same.
+func (v *voter) sources(c *Core, g *guest) []string {
+	out := []string{c.name}
+	l := v.lead
+	for range min(len(l.guests), 2) {
+		if k := &l.guests[c.chance.IntN(len(l.guests))]; k.ask.Ready == v.book.Open.ID && k != g {
+			out = append(out, k.name)
+		}
+	}
+	if len(out) > 1 {
+		out = append(out[1:], out[0])
+	}
+	return out
+}
+
+// asked takes in a member's ask: it is answered once a majority has borne out that this voter leads.
+func (v *voter) asked(c *Core, m *message) {
+	l := v.lead
+	if l == nil {
+		if n := v.leader(); n != "" && n != c.name {
+			c.send(m.from, message{Answer: &answer{Seq: m.Ask.Seq, Leader: n}})
+		}
+		return
+	}
+	i, ok := slices.BinarySearchFunc(l.guests, guest{name: m.from, start: m.Start}, func(a, b guest) int {
+		return cmp.Or(strings.Compare(a.name, b.name), cmp.Compare(a.start, b.start))
+	})
+	if !ok {
+		if len(l.guests) >= mostGuests {
+			return
+		}
+		l.guests = slices.Insert(l.guests, i, guest{name: m.from, start: m.Start})
+	}
+	g := &l.guests[i]
+	if m.Ask.Seq <= g.seq {
+		return
+	}
+	g.seq, g.ask, g.heardAt, g.waits, g.read = m.Ask.Seq, *m.Ask, c.now, true, 0
+	if g.ask.Leaves {
+		l.guests = slices.Delete(l.guests, i, i+1)
+		v.judge(c)
+		return
+	}
+	if g.ask.Both == 0 && g.seq > g.bothSeq {
+		g.both, g.bothID = 0, 0
+	}
+	p := v.book.Open
+	if g.ask.Released != 0 && g.ask.Least > g.gaveSeq && (p != nil && g.ask.Released == p.ID || g.ask.Released == v.book.Last) {
+		g.until, g.both, g.bothID = 0, 0, 0
+	}
+	if g.out && g.ask.Got > g.outSeq {
+		g.out = false
+	}
+	if l.phase == yielding && g.until > c.now && p != nil {
+		v.yieldTo(c, g)
+	}
+	v.judge(c)
+	v.read(c)
+}
+
+// read asks a majority, for all asks that came by now.
+func (v *voter) read(c *Core) {
+	l := v.lead
+	if l == nil || l.phase >= yielding {
+		return // answers wait for the decision
+	}
+	if l.reading != 0 && c.now-l.readAt < askLate {
+		return
+	}
+	any := false
+	for i := range l.guests {
+		any = any || l.guests[i].waits
+	}
+	if !any {
+		l.reading = 0
+		return
+	}
+	l.reads++
+	l.reading, l.readAt = l.term<<20|l.reads&(1<<20-1), c.now
+	for i := range l.guests {
+		if l.guests[i].waits {
+			l.guests[i].read = l.reading
+		}
+	}
+	if c.plan.planted == grantsUnasked {
+		v.confirmed(c, l.reading)
+		return
+	}
+	v.log.Confirm(l.reading)
+}
+
+// confirmed answers who asked before it was asked for.
+func (v *voter) confirmed(c *Core, read uint64) {
+	l := v.lead
+	if l == nil || read != l.reading {
+		return
+	}
+	l.reading = 0
+	if l.phase >= yielding {
+		return
+	}
+	for i := range l.guests {
+		if g := &l.guests[i]; g.waits && g.read == read {
+			v.prove(c, g)
+		}
+	}
+	for i := range l.guests {
+		if g := &l.guests[i]; g.waits && g.read == read {
+			v.reply(c, g)
+		}
+	}
+	v.judge(c)
+	v.read(c)
+}
+
+// prove looks at what a member has gone by: more than is known here means that the voters have lost it; a lease on it, that they have not.
+func (v *voter) prove(c *Core, g *guest) {
+	l := v.lead
+	switch at := v.book.mark(); {
+	case at.before(g.ask.Floor):
+		if !l.behind {
+			l.behind = true
+			c.host.Say(Behind, "member", g.name, "goes_by", g.ask.Floor.Number, "era", g.ask.Floor.Era, "number", v.book.Number)
+		}
+	case g.ask.Holds && g.ask.Floor == at:
+		l.proved = true
+	}
+}
+
+func (v *voter) reply(c *Core, g *guest) {
+	l, p := v.lead, v.book.Open
+	a := v.word(c, g)
+	a.Seq, a.For, a.Confirm = g.seq, g.start, true
+	g.waits = false
+	has := g.ask.Has == v.book.Digest || g.ask.Ready != 0 && g.ask.Ready == v.book.Last
+	deaf := g.seq-g.ask.Got > deafAfter
+	if !l.behind && has && !g.out && !deaf && (l.proved || c.now >= l.clear) {
+		a.Lease = v.book.Lease
+		g.until, g.gaveSeq = max(g.until, c.now+c.plan.margin(a.Lease)), g.seq
+		if p != nil && p.Both > 0 && g.ask.Ready == p.ID && p.Kind != Rehearsal {
+			a.Both = p.Both
+			g.both, g.bothID, g.bothSeq = max(g.both, c.now+c.plan.margin(a.Both)), p.ID, g.seq
+		}
+	}
+	c.send(g.name, message{Answer: a})
+}
+
+func (v *voter) yieldTo(c *Core, g *guest) {
+	a := v.word(c, g)
+	a.Yield = v.book.Open.ID
+	c.send(g.name, message{Answer: a})
+}
+
+// push has all members that are there know what the leader knows, unasked.
+func (v *voter) push(c *Core) {
+	to := c.host.Others()
+	if !slices.Contains(to, c.name) {
+		to = append(slices.Clone(to), c.name)
+	}
+	for i := range v.lead.guests {
+		if n := v.lead.guests[i].name; !slices.Contains(to, n) {
+			to = append(to, n)
+		}
+	}
+	for _, n := range to {
+		c.send(n, message{Answer: v.word(c, nil)})
+	}
+}
+
+// write appends an entry; while it is on its way no other is.
+func (v *voter) write(c *Core, what string, e *entry) bool {
+	l := v.lead
+	if l.wrote != "" && c.now-l.wroteAt < againAfter {
+		return false
+	}
+	if !v.log.Append(encode(e)) {
+		return false
+	}
+	if v.lead == l { // deciding may have come about within the call
+		l.wrote, l.wroteAt = what, c.now
+	}
+	return true
+}
+
+// limit is how long a proposal may stay open: the time to take it, the longest lease that may have to end, its rehearsal, and some
+// tries to switch.
+func (v *voter) limit(c *Core, t *text) Time {
+	n := c.plan.Within + 3*c.plan.margin(max(v.book.Lease, v.book.Both)) + 10*second + v.book.Open.For
+	if t != nil {
+		n += t.terms.Rehearse
+	}
+	return n
+}
+
+// judge has the change go on, as far as it can.
+func (v *voter) judge(c *Core) {
+	l, p := v.lead, v.book.Open
+	if l == nil || p == nil || l.behind {
+		return
+	}
+	t := c.shelf.get(p.Digest)
+	if t == nil || t.state == missing {
+		from := []string{p.By}
+		for i := range l.guests {
+			if l.guests[i].ask.Ready == p.ID {
+				from = append(from, l.guests[i].name)
+			}
+		}
+		c.shelf.want(c, p.Digest, p.Size, from)
+	}
+	for i := range l.guests {
+		if g := &l.guests[i]; g.ask.Refuses == p.ID && c.now-g.heardAt < v.book.Lease && l.phase < deciding {
+			v.drop(c, WasDropped, fmt.Sprintf("%s: %s", g.name, g.ask.Why))
+			return
+		}
+	}
+	if c.now-l.opened >= v.limit(c, t) && l.phase < deciding {
+		v.drop(c, WasDropped, "it could not take hold in time: "+v.state(c))
+		return
+	}
+	switch l.phase {
+	case taking:
+		if v.taken(c) && t != nil && t.state == good {
+			switch length := max(p.For, t.terms.Rehearse); {
+			case length > 0 && !l.tried:
+				l.begun = v.counts(p.ID)
+				v.turn(c, trying)
+				v.push(c)
+			default:
+				c.host.Say(Yielding, "proposal", name(p.ID), "number", v.book.Number+1)
+				v.turn(c, yielding)
+				for i := range l.guests {
+					if g := &l.guests[i]; g.until > c.now {
+						v.yieldTo(c, g)
+					}
+				}
+				v.judge(c)
+			}
+		}
+	case trying:
+		if c.now-l.since >= max(p.For, t.terms.Rehearse) {
+			l.tried = true
+			report, worse := v.rehearsed(c, p, t)
+			v.turn(c, taking)
+			if worse || p.Kind == Rehearsal {
+				how := WasDropped
+				if p.Kind == Rehearsal {
+					how = WasRehearsed
+				}
+				v.drop(c, how, report)
+				return
+			}
+			v.push(c)
+			v.judge(c)
+		}
+	case yielding:
+		held := 0
+		for i := range l.guests {
+			if l.guests[i].until > c.now {
+				held++
+			}
+		}
+		switch {
+		case held == 0:
+			v.turn(c, deciding)
+			v.decide(c, t)
+		case c.now-l.since >= yieldFor:
+			for i := range l.guests {
+				if g := &l.guests[i]; g.until > c.now {
+					g.out, g.outSeq = true, g.seq
+					c.host.Say(LeftOut, "member", g.name, "proposal", name(p.ID))
+				}
+			}
+			c.host.Say(Resumed, "proposal", name(p.ID), "number", v.book.Number)
+			v.turn(c, taking)
+			v.read(c)
+		}
+	case deciding:
+		v.decide(c, t)
+	}
+}
+
+func (v *voter) turn(c *Core, to phase) { v.lead.phase, v.lead.since = to, c.now }
+
+func (v *voter) decide(c *Core, t *text) {
+	p := v.book.Open
+	v.write(c, "decide", &entry{Decide: &decide{p.ID, c.host.Wall(), t != nil && t.terms.Probation > 0}})
+}
+
+func (v *voter) drop(c *Core, how Outcome, why string) {
+	v.write(c, "drop", &entry{Drop: &End{ID: v.book.Open.ID, End: how, Why: why}})
+}
+
+// taken tells whether all that are heard have taken the proposal, and none of the others can hold a lease, or go by another pair of
+// policies, any more.
+func (v *voter) taken(c *Core) bool {
+	l, p := v.lead, v.book.Open
+	if c.now < l.clear || c.now < v.clearBoth(c) {
+		return false
+	}
+	all := true
+	voters := 0
+	for i := range l.guests {
+		g := &l.guests[i]
+		if g.both > c.now && g.bothID != p.ID && c.plan.planted != bothForever {
+			all = false
+		}
+		if g.ask.Ready == p.ID && !g.out {
+			if k := v.book.voter(g.name); k != nil && c.now-g.heardAt < v.book.Lease {
+				voters++
+			}
+			continue
+		}
+		if g.until > c.now {
+			all = false
+		}
+		if !g.out && c.now-g.heardAt < v.book.Lease {
+			all = false
+			if c.now-l.opened >= c.plan.Within {
+				g.out, g.outSeq = true, g.seq
+				c.host.Say(LeftOut, "member", g.name, "proposal", name(p.ID))
+			}
+		}
+	}
+	return all && 2*voters > len(v.book.Voters)
+}
+
+// clearBoth is when all that leaders before this one let go by two policies have ended that.
+func (v *voter) clearBoth(c *Core) Time {
+	if v.book.Both == 0 || c.plan.planted == bothForever || c.plan.planted == noWait {
+		return v.lead.began
+	}
+	return v.lead.began + c.plan.margin(v.book.Both)
+}
+
+// state says how far a change is.
+func (v *voter) state(c *Core) string {
+	l, p := v.lead, v.book.Open
+	switch {
+	case l.behind:
+		return "behind: somebody has gone by more than the voters know; policy force is the way out"
+	case p == nil && v.book.Trial != nil:
+		return fmt.Sprintf("number %d is on probation", v.book.Number)
+	case p == nil:
+		return ""
+	}
+	ready, silent := 0, []string{}
+	var longest Time
+	for i := range l.guests {
+		g := &l.guests[i]
+		if g.ask.Ready == p.ID && !g.out {
+			ready++
+		} else if len(silent) < 3 {
+			silent = append(silent, g.name)
+		}
+		if g.ask.Ready != p.ID || g.out {
+			longest = max(longest, g.until-c.now)
+		}
+	}
+	s := fmt.Sprintf("%s: %d of %d ready", [...]string{"being taken", "rehearsed", "switching", "being decided"}[l.phase], ready, len(l.guests))
+	if len(silent) > 0 {
+		s += fmt.Sprintf("; not %s", strings.Join(silent, ", "))
+	}
+	if wait := max(longest, l.clear-c.now, v.clearBoth(c)-c.now); wait > 0 && l.phase == taking {
+		s += fmt.Sprintf("; leases end in %.1f s", float64(wait)/float64(second))
+	}
+	return clip(s, 200)
+}
+
+// applied takes in what the log has decided.
+func (v *voter) applied(c *Core, b []byte) {
+	var e entry
+	if unmarshal(b, &e) != nil {
+		return // of another build; all of this one pass it over alike
+	}
+	was, ends := v.book.Number, len(v.book.Ends)
+	var last End
+	if ends > 0 {
+		last = v.book.Ends[ends-1]
+	}
+	open := v.book.Open
+	v.book.apply(&e)
+	if n := len(v.book.Ends); n > 0 && v.book.Ends[n-1] != last {
+		end := v.book.Ends[n-1]
+		code := map[Outcome]Code{WasDecided: Decided, WasDropped: Dropped, WasRehearsed: Dropped, WasRefused: Refused}[end.End]
+		c.host.Say(code, "proposal", name(end.ID), "number", v.book.Number, "digest", v.book.Digest.String(), "how", end.End.String(), "why", end.Why)
+	}
+	if v.book.Open != open && v.book.Open != nil {
+		p := v.book.Open
+		c.host.Say(Opened, "proposal", name(p.ID), "kind", p.Kind.String(), "digest", p.Digest.String(), "by", p.By)
+	}
+	v.tidy(c)
+	l := v.lead
+	if l == nil {
+		return
+	}
+	l.wrote = ""
+	if v.book.Open != open {
+		l.opened, l.tried = c.now, false
+		v.turn(c, taking)
+		if v.book.Number != was { // all that gave up what they held wait for this
+			for i := range l.guests {
+				l.guests[i].out = l.guests[i].out && l.guests[i].until > c.now
+			}
+			l.proved = true
+			v.read(c)
+		} else {
+			v.push(c)
+			v.read(c)
+		}
+		v.judge(c)
+	}
+}
+
+// proposed takes in a member's proposal.
+func (v *voter) proposed(c *Core, m *message) {
+	p, l := *m.Propose, v.lead
+	answer := func(t *told) { c.send(m.from, message{Told: t}) }
+	if l == nil {
+		if n := v.leader(); n != "" && n != c.name {
+			answer(&told{ID: p.ID, Leader: n})
+		}
+		return
+	}
+	if t := v.book.told(p.ID); t != nil {
+		if t.End == Pending {
+			t.Why = v.state(c)
+		}
+		answer(t)
+		return
+	}
+	if p.Kind == Rollback && p.Of == 0 {
+		p.Digest, p.Size = Digest{}, 0
+	} else if p.Kind == Rollback {
+		a := v.book.act(p.Of)
+		if a == nil {
+			answer(&told{ID: p.ID, End: WasRefused, Why: fmt.Sprintf("number %d is not among the last %d", p.Of, mostPast)})
+			return
+		}
+		p.Digest, p.Size = a.Digest, a.Size
+	}
+	if (p.Digest != Digest{}) && (p.Size <= 0 || p.Size > MostText) {
+		answer(&told{ID: p.ID, End: WasRefused, Why: fmt.Sprintf("expected a policy of 1 to %d bytes, found %d", MostText, p.Size)})
+		return
+	}
+	answer(&told{ID: p.ID})
+	if i := slices.IndexFunc(l.waiting, func(w waiting) bool { return w.ID == p.ID }); i >= 0 {
+		l.waiting[i].at = c.now
+	} else if len(l.waiting) < mostWaits {
+		l.waiting = append(l.waiting, waiting{m.from, p, c.now})
+	}
+	c.shelf.want(c, p.Digest, p.Size, []string{m.from})
+	if t := c.shelf.get(p.Digest); t != nil && t.state == missing {
+		if body := c.host.Load(p.Digest); len(body) > 0 && Of(body) == p.Digest {
+			c.shelf.put(c, p.Digest, body, true)
+		}
+	}
+	v.admit(c)
+}
+
+// admit has the log open the first proposal whose text is there.
+func (v *voter) admit(c *Core) {
+	l := v.lead
+	l.waiting = slices.DeleteFunc(l.waiting, func(w waiting) bool {
+		t := c.shelf.get(w.Digest)
+		switch {
+		case v.book.knows(w.ID) || c.now-w.at >= 10*second:
+			return true
+		case t != nil && t.state == bad:
+			c.send(w.from, message{Told: &told{ID: w.ID, End: WasRefused, Why: c.name + ": " + t.why}})
+			return c.now-w.at >= second
+		case t != nil && t.state == good && l.wrote == "":
+			p := &Offer{ID: w.ID, Digest: w.Digest, Size: w.Size, Kind: w.Kind, By: w.from, Base: w.Base, Of: w.Of, For: w.For, Both: t.terms.Both}
+			v.write(c, "open", &entry{Open: p})
+		}
+		return false
+	})
+}
+
+// shelved takes in that a text was looked at.
+func (v *voter) shelved(c *Core) {
+	if v.lead != nil {
+		v.admit(c)
+		v.judge(c)
+	}
+}
+
+// needs tells whether the voters need a text at hand.
+func (v *voter) needs(d Digest) bool {
+	if p := v.book.Open; p != nil && p.Digest == d {
+		return true
+	}
+	return v.lead != nil && slices.ContainsFunc(v.lead.waiting, func(w waiting) bool { return w.Digest == d })
+}
