The charter's model is walked: elections, messages late and doubled, kills, clocks, two proposals

What both policies allow is now given to all that are ready before they give the old one up, so that who falls silent in that moment has it too.

--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -179,6 +179,7 @@
 	trying []*attempt // proposals made here
 	voter  *voter     // nil: this one doesn't vote
 	ended  bool
+	carry  func(to string, m *message) // of the model, in place of bytes
 }
 
 // New begins a process's part; kept is what its folder has.
@@ -223,6 +224,11 @@
 		return err
 	}
 	m.from = from
+	c.take(m)
+	return nil
+}
+
+func (c *Core) take(m *message) {
 	switch {
 	case m.Ask != nil:
 		if c.voter != nil {
@@ -251,7 +257,6 @@
 			c.voter.heardLog(c, m.Log)
 		}
 	}
-	return nil
 }
 
 // Leave gives up what this process holds: it stops.
@@ -263,5 +268,9 @@
 
 func (c *Core) send(to string, m message) {
 	m.Start = c.start
+	if c.carry != nil {
+		c.carry(to, &m)
+		return
+	}
 	c.host.Send(to, m.encode())
 }
--- /dev/null
+++ b/internal/charter/charter_test.go
@@ -0,0 +1,45 @@
+package charter
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"magpiebank/internal/explore"
+)
+
+// The walk finds nothing, and each defect that is planted.
+func TestExplore(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		w    *world
+	}{
+		{"switches-on-word", modelled(switchesOnWord, 0, 0, 0, 0)},
+		{"lease-without-drift", modelled(noDrift, 0, 0, 0, 0)},
+		{"believes-folder", modelled(believesFolder, 0, 1, 0, 0)},
+		{"leader-without-wait", modelled(noWait, 0, 0, 1, 0)},
+		{"grants-unasked", modelled(grantsUnasked, 0, 0, 1, 0)},
+		{"keeps-on-yield", modelled(keepsOnYield, 0, 0, 0, 0)},
+		{"lease-from-answer", modelled(fromAnswer, 0, 0, 0, 0)},
+		{"both-forever", modelled(bothForever, 6*unit, 0, 0, 0)},
+	} {
+		began := time.Now()
+		r := explore.Walk(c.w, 600_000, 1000)
+		if r.Violated == "" {
+			t.Errorf("%s: not found in %d states, %d deep", c.name, r.States, r.Depth)
+			continue
+		}
+		t.Logf("%s: found after %d moves, %d states, %.1f s: %s", c.name, r.Depth, r.States, time.Since(began).Seconds(), r.Violated)
+		t.Log(strings.Join(r.Trace, "; "))
+	}
+	Explore(100_000, func(what string, r explore.Result) {
+		t.Log(what, fmt.Sprintf("%d states, %d deep", r.States, r.Depth))
+		if r.Violated != "" {
+			t.Errorf("%s: %s", what, r.Violated)
+			for i, m := range r.Trace {
+				t.Logf("%4d  %s", i+1, m)
+			}
+		}
+	})
+}
--- a/internal/charter/lead.go
+++ b/internal/charter/lead.go
@@ -159,7 +159,7 @@
 	}
 	p := v.book.Open
 	if g.ask.Released != 0 && g.ask.Least > g.gaveSeq && (p != nil && g.ask.Released == p.ID || g.ask.Released == v.book.Last) {
-		g.until, g.both, g.bothID = 0, 0, 0
+		g.until = 0
 	}
 	if g.out && g.ask.Got > g.outSeq {
 		g.out = false
@@ -419,6 +419,9 @@
 			all = false
 		}
 		if g.ask.Ready == p.ID && !g.out {
+			if p.Both > 0 && p.Kind != Rehearsal && g.bothID != p.ID && c.now-g.heardAt < v.book.Lease {
+				all = false // it is to have that first
+			}
 			if k := v.book.voter(g.name); k != nil && c.now-g.heardAt < v.book.Lease {
 				voters++
 			}
--- a/internal/charter/own.go
+++ b/internal/charter/own.go
@@ -114,6 +114,17 @@
 }
 
 func (o *own) due(c *Core) {
+	o.lapse(c)
+	if o.giving != 0 && c.host.Drained() {
+		o.released, o.giving, o.nextAt = o.giving, 0, c.now
+	}
+	if c.now >= o.nextAt {
+		o.ask(c)
+	}
+}
+
+// lapse ends what was only for a time.
+func (o *own) lapse(c *Core) {
 	if o.until != 0 && c.now >= o.until {
 		o.until = 0
 		c.host.Say(Lapsed, "number", o.at.Number)
@@ -123,12 +134,6 @@
 		o.bothWith, o.bothUntil = nil, 0
 		c.stand()
 	}
-	if o.giving != 0 && c.host.Drained() {
-		o.released, o.giving, o.nextAt = o.giving, 0, c.now
-	}
-	if c.now >= o.nextAt {
-		o.ask(c)
-	}
 }
 
 // ask asks for a lease, or for more time on it: the leader, or whoever of the voters may know it.
@@ -260,8 +265,8 @@
 	if o.giving == id {
 		return
 	}
-	if c.plan.planted != keepsOnYield {
-		o.until, o.bothWith, o.bothUntil = 0, nil, 0
+	if c.plan.planted != keepsOnYield { // what both allow goes on being so, whichever is in force
+		o.until = 0
 	}
 	o.least = o.seq + 1 // what is still under way counts no more
 	o.giving, o.tries = id, 0
