--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -60,6 +60,7 @@
   magpiebank check       read the configuration, print what it says, and stop
   magpiebank statement   what is read of statements, and what was learned of them
   magpiebank fleet       what a gateway knows of the others
+  magpiebank policy      the fleet's policy: propose a change, follow it, go back
   magpiebank store       what a folder of --state holds
   magpiebank version     print the version
 
@@ -98,7 +99,7 @@
 	})
 	if p.Operator == nil {
 		for use, short := range map[string]string{"statement": "What is read of statements, and what was learned of them",
-			"fleet": "What a gateway knows of the others"} {
+			"fleet": "What a gateway knows of the others", "policy": "The fleet's policy: propose a change, follow it, go back"} {
 			root.AddCommand(&cobra.Command{Use: use, Short: short, DisableFlagParsing: true, RunE: func(*cobra.Command, []string) error { return become() }})
 		}
 	}
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -19,6 +19,7 @@
 	"magpiebank/internal/ledger"
 	"magpiebank/internal/router"
 	"magpiebank/internal/store"
+	"magpiebank/internal/store/sick"
 )
 
 const (
@@ -59,7 +60,7 @@
 	book := ledger.New(&behind, lanes, int(megabytes)*tasksPerMB)
 	var bad error
 	memories := memoryParts{}
-	s, found, err := store.Open(ailing(disk), start.Name, store.Limits{Most: megabytes << 20}, func(k store.Key, b []byte, gone bool) {
+	s, found, err := store.Open(sick.Folder(disk), start.Name, store.Limits{Most: megabytes << 20}, func(k store.Key, b []byte, gone bool) {
 		if n, ok := memoryPart(k); ok {
 			memories[n] = append([]byte(nil), b...)
 			return
