--- a/cmd/magpiebank-operator/main.go
+++ b/cmd/magpiebank-operator/main.go
@@ -19,7 +19,7 @@
 )
 
 func main() {
-	p := command.Program{Operator: read, Commands: []*cobra.Command{statementCommand(), fleetCommand()}}
+	p := command.Program{Operator: read, Commands: []*cobra.Command{statementCommand(), fleetCommand(), policyCommand()}}
 	os.Exit(p.Run(os.Args[1:], os.Getenv, os.Stdout, os.Stderr))
 }
 
@@ -47,7 +47,7 @@
 			return nil, fmt.Errorf("%s: %w", file, err)
 		}
 	}
-	budgets := f.Fleet != nil && f.Fleet.Budgets != nil && len(f.Fleet.Budgets.Names) > 0
+	budgets := f.Fleet != nil && f.Fleet.Budgets != nil && (len(f.Fleet.Budgets.Names) > 0 || f.Fleet.Policy != nil)
 	switch {
 	case f.Fleet == nil:
 	case !start.Site.Peers && budgets:
@@ -62,6 +62,19 @@
 	if budgets && r.desk != nil {
 		r.desk.Share(r.fleet)
 	}
+	if f.Fleet != nil && f.Fleet.Policy != nil {
+		switch {
+		case r.desk == nil:
+			return nil, fmt.Errorf("%s: statements: expected them to be read, as fleet.policy decides on their classes, found nothing", file)
+		case r.fleet == nil:
+			return nil, fmt.Errorf("%s: fleet.policy: what the fleet decides needs messages between gateways, which the site's settings[limits peerMessages] don't allow", file)
+		}
+		r.desk.Obey(r.fleet, source.ParsePolicy, start.Site.Gateways)
+		r.fleet.Follow(r.desk)
+		if f.Proposed {
+			log.Info("operator's file", "code", "by_policy", "error", "its pools and classes are gone by once they were proposed: magpiebank policy propose "+file)
+		}
+	}
 	return r, nil
 }
 
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -40,7 +40,8 @@
 	Work   Time    // on one thread, usually
 	Upper  Time    // that nine of ten stay under
 	Memory float64 // MB
-	Class  int     // into which an operator's rules put it
+	Class  int     // into which an operator's rules put it,
+	Trial  int     // and those that are rehearsed; nothing is decided by it
 	Past   Past
 }
 
--- a/internal/charter/lead.go
+++ b/internal/charter/lead.go
@@ -17,6 +17,8 @@
 	// A probation looks at no share of fewer tasks.
 	leastTasks = 50
 	mostGuests = 2048
+	callOften  = second / 4
+	callRarely = 5 * second
 	mostWaits  = 8
 )
 
@@ -69,6 +71,7 @@
 	watchAt  Time   // since when
 	waiting  []waiting
 	tendAt   Time
+	callAt   Time   // when all are told next who leads
 	missed   uint64 // a voter that is not heard, whose place another could take,
 	missedAt Time   // since when
 }
@@ -92,10 +95,19 @@
 	}
 	v.lead = l
 	c.host.Say(Leads, "term", term, "number", v.book.Number)
-	for _, to := range c.host.Others() {
-		c.send(to, message{Answer: v.word(c, nil)})
+	v.call(c)
+}
+
+// call has all that are there know who leads: often before the first lease is given, as whoever knows of more should say so by then.
+func (v *voter) call(c *Core) {
+	l := v.lead
+	if c.now < l.callAt {
+		return
+	}
+	if l.callAt = c.now + callRarely; !l.proved && c.now < l.clear {
+		l.callAt = c.now + callOften
 	}
-	c.send(c.name, message{Answer: v.word(c, nil)})
+	v.push(c)
 }
 
 // word is what the leader says to one member, or to all.
@@ -128,6 +140,9 @@
 
 // asked takes in a member's ask: it is answered once a majority has borne out that this voter leads.
 func (v *voter) asked(c *Core, m *message) {
+	if v.overruled(c, m.Ask.Floor.Era, m.from) {
+		return
+	}
 	l := v.lead
 	if l == nil {
 		if n := v.leader(); n != "" && n != c.name {
@@ -510,15 +525,20 @@
 	if l == nil {
 		return
 	}
+	if open != nil && v.book.Open == nil { // who made it waits
+		c.send(open.By, message{Told: v.book.told(open.ID)})
+	}
 	l.wrote = ""
 	if v.book.Open != open {
+		if l.phase == deciding && v.book.Number != was { // by this leader, not one before it: so nobody knows of anything later
+			l.proved = true
+		}
 		l.opened, l.tried = c.now, false
 		v.turn(c, taking)
 		if v.book.Number != was { // all that gave up what they held wait for this
 			for i := range l.guests {
 				l.guests[i].out = l.guests[i].out && l.guests[i].until > c.now
 			}
-			l.proved = true
 			v.read(c)
 		} else {
 			v.push(c)
--- a/internal/charter/own.go
+++ b/internal/charter/own.go
@@ -49,6 +49,8 @@
 	state  string
 	cannot Digest // a decided policy that it can't follow, as was said
 	stood  Standing
+	told   bool // the gateway knows it
+	toldAt Time // when voters of an earlier era were last told
 }
 
 type sent struct {
@@ -107,8 +109,8 @@
 	was := &o.stood
 	same := was.Era == s.Era && was.Number == s.Number && was.Digest == s.Digest && was.Until == s.Until && was.Other == s.Other && was.BothUntil == s.BothUntil &&
 		was.Heard == s.Heard && was.Rehearse == s.Rehearse && slices.Equal(was.Known, s.Known)
-	if !same {
-		o.stood = s
+	if !same || !o.told {
+		o.stood, o.told = s, true
 		c.host.Stand(&s)
 	}
 }
@@ -188,8 +190,13 @@
 		}
 		return
 	}
-	if a.At.Era < o.target.Era {
-		return // of a group of voters that another has taken the place of
+	if a.At.Era < o.target.Era { // of voters that others have taken the place of: they are told
+		if c.now-o.toldAt >= askLate {
+			o.toldAt = c.now
+			o.seq++
+			c.send(m.from, message{Ask: &ask{Seq: o.seq, Floor: mark{o.target.Era, o.at.Number}, Has: o.has(c), Got: o.got}})
+		}
+		return
 	}
 	if len(a.Voters) > 0 {
 		o.voters = a.Voters
--- a/internal/charter/voters.go
+++ b/internal/charter/voters.go
@@ -137,6 +137,7 @@
 		v.tell(c)
 	}
 	if v.lead != nil {
+		v.call(c)
 		v.read(c)
 		v.judge(c)
 		v.admit(c)
@@ -196,15 +197,24 @@
 	if !b.Reply && v.kept {
 		c.send(m.from, message{Born: v.myself(c, true)})
 	}
-	if v.log != nil && b.Era > v.book.Era && !b.First {
-		c.host.Say(Overruled, "era", b.Era, "of", m.from)
-		v.anew(c)
+	if !b.First {
+		v.overruled(c, b.Era, m.from)
 	}
 	if v.log == nil {
 		v.together(c)
 	}
 }
 
+// overruled has a voter whose group another was forced in the place of be none of it any more.
+func (v *voter) overruled(c *Core, era uint64, by string) bool {
+	if v.log == nil || len(v.book.Voters) == 0 || era <= v.book.Era {
+		return false
+	}
+	c.host.Say(Overruled, "era", era, "by", by)
+	v.anew(c)
+	return true
+}
+
 // together begins the log: all voters of the file are there, none of them has one, and all are of one mind on leases. Where another has
 // one already, this voter waits to be told.
 func (v *voter) together(c *Core) {
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -10,6 +11,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // listen opens the control socket. One that a process before this one left behind is taken away; one that answers is not.
@@ -36,10 +39,55 @@
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(5 * time.Second))
 	s := &Status{}
-	if err := json.NewDecoder(c).Decode(s); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+	return s, exchange(c, path, &request{}, s)
+}
+
+// AskPolicy asks a gateway something of policies by its control socket. A proposal is answered when it has ended.
+func AskPolicy(ctx context.Context, path string, q *PolicyAsk) (*PolicyAnswer, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "unix", path)
+	if err != nil {
+		return nil, err
 	}
-	return s, nil
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Now()) })()
+	a := &PolicyAnswer{}
+	return a, exchange(c, path, &request{q}, a)
+}
+
+func exchange(c net.Conn, path string, q *request, answer any) error {
+	err := json.NewEncoder(c).Encode(q)
+	if err == nil {
+		err = json.NewDecoder(c).Decode(answer)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+// allowed refuses whoever is neither of this process's user nor root.
+func allowed(c net.Conn) error {
+	u, ok := c.(*net.UnixConn)
+	if !ok {
+		return errors.New("no Unix socket")
+	}
+	raw, err := u.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var peer *unix.Ucred
+	var failed error
+	if err := raw.Control(func(fd uintptr) { peer, failed = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED) }); err != nil {
+		return err
+	}
+	if failed != nil {
+		return failed
+	}
+	if peer.Uid != 0 && int(peer.Uid) != os.Geteuid() {
+		return fmt.Errorf("user %d asked, this process is of user %d", peer.Uid, os.Geteuid())
+	}
+	return nil
 }
 
 // Text writes a state as tables.
@@ -98,6 +146,69 @@
 	}
 }
 
+// Text writes what a gateway knows of policies.
+func (s *PolicyStatus) Text(out io.Writer) {
+	held := fmt.Sprintf("lease for %.1f s", s.Lease)
+	if s.Lease == 0 {
+		held = "NO LEASE: tasks that a class of any policy has to do with are turned away"
+	}
+	fmt.Fprintf(out, "%s goes by number %d, %s; %s\n", s.Name, s.Number, s.Digest, held)
+	if s.Decided != s.Number {
+		fmt.Fprintf(out, "number %d is decided\n", s.Decided)
+	}
+	if s.Cannot != "" {
+		fmt.Fprintf(out, "it can't follow %s: its log says why\n", s.Cannot)
+	}
+	role := ""
+	if s.Votes {
+		role = "; it is one of them"
+	} else if s.Learning {
+		role = "; it is to be one of them, and is not yet"
+	}
+	leader := s.Leader
+	if leader == "" {
+		leader = "not known"
+	}
+	fmt.Fprintf(out, "voters %s, leader %s, era %d%s\n", strings.Join(s.Voters, " "), leader, s.Era, role)
+	if s.Proposal != "" {
+		ready := "not ready for it"
+		if s.Ready {
+			ready = "ready for it"
+		} else if s.Why != "" {
+			ready = "refuses it: " + s.Why
+		}
+		fmt.Fprintf(out, "proposal %s, %s, is open; %s\n", s.Proposal, s.Offered, ready)
+	}
+	if s.Change != "" {
+		fmt.Fprintln(out, s.Change)
+	}
+	if len(s.Members) > 0 {
+		fmt.Fprintf(out, "\n%-20s %8s %8s %6s  %s\n", "member", "heard s", "lease s", "ready", "")
+		for _, m := range s.Members {
+			more := m.Why
+			if m.Out {
+				more = strings.TrimSpace("left out " + more)
+			}
+			fmt.Fprintf(out, "%-20s %8.1f %8.1f %6t  %s\n", m.Name, m.Heard, m.Lease, m.Ready, more)
+		}
+	}
+}
+
+// History writes the policies that were in force, and how proposals ended.
+func (s *PolicyStatus) History(out io.Writer) {
+	fmt.Fprintf(out, "%7s  %-12s %8s  %-9s %-20s %s\n", "number", "digest", "bytes", "kind", "by", "at")
+	for _, a := range s.Past {
+		kind := a.Kind
+		if a.Of > 0 {
+			kind = fmt.Sprintf("%s %d", a.Kind, a.Of)
+		}
+		fmt.Fprintf(out, "%7d  %-12s %8d  %-9s %-20s %s\n", a.Number, a.Digest, a.Size, kind, a.By, time.Unix(a.At, 0).UTC().Format(time.RFC3339))
+	}
+	for _, e := range s.Ends {
+		fmt.Fprintf(out, "proposal %08x: %s %s\n", uint32(e.ID>>32), e.End, e.Why)
+	}
+}
+
 // BudgetText writes budgets member by member, and the counts of the whole fleet by class.
 func (s *Status) BudgetText(out io.Writer) {
 	if len(s.Budgets) == 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -40,6 +40,7 @@
 	Sharing   bool   // of judgements on engines; else only who is there
 	Counts    bool   // are shared
 	Budgets   *Budgets
+	Policy    *PolicyPlan // nil: each gateway reads its own file
 }
 
 // The pace of the fleet's goroutine while there is something to do: reports wait some 100 ms for others, failures this long.
@@ -96,6 +97,9 @@
 	rated    map[int]rated // of the owner's goroutine: what the history has of rates
 	naming   sync.Mutex
 	names    []string // of the budgets, in the core's order
+	policies policies
+	ruling   atomic.Pointer[Ruling] // nil: the fleet has no charter
+	passing  atomic.Int32           // hand-offs that were looked at and are being written
 }
 
 // New makes a gateway's part; nothing is opened yet.
@@ -118,6 +122,14 @@
 	f := &Fleet{plan: plan, name: start.Name, log: log, seal: key, box: inbox.New(), stop: make(chan struct{}), ended: make(chan struct{}),
 		share: judgement.Share(start.Site, len(start.Network.Zones)), numbers: map[string]*seen{}, dropped: map[error]int{},
 		listed: map[admission.EngineID]admission.Time{}, out: map[admission.EngineID]bool{}, rated: map[int]rated{}, saidAt: time.Now(), seat: start.Site.Me, gateways: start.Site.Gateways}
+	if p := plan.Policy; p != nil {
+		if plan.Control == "" {
+			return nil, errors.New("fleet.control: expected a socket's path, as policies are proposed there, found nothing")
+		}
+		if p.Folder == "" && slices.Contains(p.Voters, start.Name) {
+			return nil, fmt.Errorf("fleet.policy.folder: expected a folder, as %s votes, found nothing", start.Name)
+		}
+	}
 	if f.longest = slices.Max(start.Network.Longest); f.longest <= 0 {
 		f.longest = time.Hour // it isn't told how long clients wait: more than any should
 	}
@@ -185,6 +197,12 @@
 		f.cold = f.newCold()
 		f.tellTotals(f.plan.Budgets)
 	}
+	if f.plan.Policy != nil {
+		if _, err := f.newPolicies(now, start); err != nil {
+			f.socket.Close()
+			return err
+		}
+	}
 	f.log.Info("fleet", "code", "begun", "address", f.plan.Advertise, "seeds", len(f.plan.Seeds), "start", start)
 	go f.read()
 	go f.run()
@@ -288,6 +306,9 @@
 			if f.purse != nil {
 				f.purse.Step(func(c *budget.Core) { c.Farewell(f.clock.Now()) })
 			}
+			if f.policies.core != nil {
+				f.policies.stop(f.clock.Now())
+			}
 			return
 		}
 		f.due(f.clock.Now())
@@ -313,6 +334,9 @@
 		}
 		f.shares.Due(now)
 	}
+	if f.policies.core != nil && !f.core.Quiet() {
+		f.policies.due(now)
+	}
 	asOf := int64(0)
 	if f.history != nil {
 		asOf = history.Now() - int64(f.clock.Now()-now)*1e5
@@ -400,6 +424,10 @@
 			if f.counts != nil && !f.core.Quiet() && f.counts.Heard(at, l.name, l.start, p.bytes) != nil {
 				err = errBroken
 			}
+		case partCharter:
+			if f.policies.core != nil && !f.core.Quiet() && f.policies.part(at, l, p.bytes) != nil {
+				err = errBroken
+			}
 		case partJudgement:
 			if m, ok := f.core.Find(l.name); f.plan.Sharing && at >= f.deafTo && ok && (m.Start <= l.start || ignoresStart) {
 				if f.book.Heard(at, judgement.Source{Name: l.name, Start: l.start}, p.bytes) != nil {
--- a/internal/fleet/planted_off.go
+++ b/internal/fleet/planted_off.go
@@ -16,3 +16,12 @@
 
 // beside is another way to share budgets, in a measurement of the laboratory's.
 func (f *Fleet) beside(admission.Time) shares { return nil }
+
+// planted are the names of defects, for the laboratory alone.
+func planted() string { return "" }
+
+// moment is where the laboratory has a process die, or stand still.
+func moment(string) {}
+
+// olderBuild is why a gateway that stands for one of an older build can't follow a policy.
+func olderBuild([]byte) error { return nil }
--- /dev/null
+++ b/internal/fleet/policy.go
@@ -0,0 +1,531 @@
+package fleet
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/charter"
+	"magpiebank/internal/consensus"
+	"magpiebank/internal/history"
+	"magpiebank/internal/member"
+	"magpiebank/internal/store"
+	"magpiebank/internal/store/sick"
+)
+
+// PolicyPlan is how the fleet changes its policy.
+type PolicyPlan struct {
+	Voters []string      // names of the gateways that decide, at first
+	Folder string        // for the log and the policies; empty: none, as for a gateway that doesn't vote
+	Lease  time.Duration // for which a gateway that hears nothing goes on by the policy it has
+	Within time.Duration // that a proposal waits for gateways that are heard and take no part
+}
+
+// Policies reads policies for the gateway that goes by them; the operator's desk does.
+type Policies interface {
+	// Read reads a policy's text; an error is why this gateway can't follow it. Any goroutine may call it.
+	Read(text []byte) (Policy, error)
+	// Counted is what became of tasks since a policy or a rehearsal began here.
+	Counted() charter.Count
+}
+
+// Policy is one that was read.
+type Policy interface {
+	Terms() charter.Terms
+	Budgets() (names []string, totals []int64) // of the whole fleet
+}
+
+// Ruling is what this gateway may go by, as those see it that decide.
+type Ruling struct {
+	charter.Standing
+	Policy Policy   // in force, or last so; nil: none is known
+	Other  Policy   // that may be gone by beside it
+	Known  []Policy // that were heard of
+	Trial  Policy   // that is rehearsed
+}
+
+// policies is the fleet's part in changes of policy.
+type policies struct {
+	f      *Fleet
+	plan   PolicyPlan
+	desk   Policies
+	core   *charter.Core
+	store  *store.Store
+	read   map[charter.Digest]Policy
+	inUse  charter.Digest // whose budgets are gone by
+	number uint64
+	parts  []parcel
+	sent   uint32
+}
+
+// parcel is a message that comes in several datagrams.
+type parcel struct {
+	from  string
+	start uint64
+	id    uint32
+	parts [][]byte
+	left  int
+	at    admission.Time
+}
+
+// Follow has the fleet's policies be gone by; it is called before Start.
+func (f *Fleet) Follow(desk Policies) { f.policies.desk = desk }
+
+// newPolicies opens the folder.
+func (f *Fleet) newPolicies(now admission.Time, start uint64) (*policies, error) {
+	p := &f.policies
+	p.f, p.plan, p.read = f, *f.plan.Policy, map[charter.Digest]Policy{}
+	plan := &charter.Plan{Voters: p.plan.Voters, Lease: tenths(p.plan.Lease), Within: tenths(p.plan.Within), Drift: 20, Folder: p.plan.Folder != ""}
+	plan.Plant(planted())
+	var kept *charter.Kept
+	if p.plan.Folder != "" {
+		disk, err := store.Disk(p.plan.Folder)
+		if err != nil {
+			return nil, fmt.Errorf("fleet.policy.folder: %w", err)
+		}
+		kept = &charter.Kept{}
+		// The last sixteen policies of a megabyte each, as many again while they are rewritten, and the log.
+		limits := store.Limits{Most: 64 << 20}
+		p.store, _, err = store.Open(sick.Folder(disk), f.name, limits, func(k store.Key, b []byte, gone bool) {
+			kept.Take([16]byte(k), slices.Clone(b), gone)
+		})
+		if err != nil {
+			return nil, fmt.Errorf("fleet.policy.folder: %s: %w", p.plan.Folder, err)
+		}
+		if err := kept.Err(); err != nil {
+			return nil, errors.Join(fmt.Errorf("fleet.policy.folder: %s: %w", p.plan.Folder, err), p.store.Close())
+		}
+	}
+	p.core = charter.New(now, plan, f.name, start, rand.New(rand.NewPCG(start, 3)), kept, p)
+	return p, nil
+}
+
+// Ruling is what may be gone by now; nil: the fleet has no charter.
+func (f *Fleet) Ruling() *Ruling { return f.ruling.Load() }
+
+// Pass tells whether a hand-off that a number had go out may be written now; Passed follows once it is.
+func (f *Fleet) Pass(by uint64, task admission.TaskID) bool {
+	f.passing.Add(1)
+	asOf := f.AsOf()
+	if by != f.ruling.Load().By(f.clock.Now()) {
+		f.passing.Add(-1)
+		return false
+	}
+	f.Decided("sent", by, task, asOf)
+	return true
+}
+
+// Passed takes in that it is written.
+func (f *Fleet) Passed(by uint64, task admission.TaskID) {
+	f.passing.Add(-1)
+	if f.history != nil {
+		f.history.Write(history.Event{What: history.Wrote, Task: string(task)})
+	}
+}
+
+// AsOf is when something is looked at that is decided by; only histories need it.
+func (f *Fleet) AsOf() int64 {
+	if f.history == nil {
+		return 0
+	}
+	return history.Now()
+}
+
+// Decided has the history know what was decided of a task, by what (0: without any number), and when that was looked at.
+func (f *Fleet) Decided(what string, by uint64, task admission.TaskID, asOf int64) {
+	if f.history != nil {
+		f.history.Write(history.Event{What: history.Decided, Code: what, Number: int(by&^byBoth) - 1, Out: by&byBoth != 0, Task: string(task), AsOf: asOf})
+	}
+}
+
+// byBoth marks decisions by what a number and the proposal after it both allow.
+const byBoth = uint64(1) << 63
+
+// By is what may be gone by at a time: a number from 1 up, as a number and one, or, marked, two of them; 0: nothing.
+func (r *Ruling) By(now admission.Time) uint64 {
+	switch {
+	case r.Holds(now):
+		return r.Number + 1
+	case r.Other != nil && now < r.BothUntil:
+		return r.Number + 1 | byBoth
+	}
+	return 0
+}
+
+// Both tells whether it is two policies.
+func Both(by uint64) bool { return by&byBoth != 0 }
+
+// due steps the charter.
+func (p *policies) due(now admission.Time) {
+	p.core.Due(now)
+	p.parts = slices.DeleteFunc(p.parts, func(k parcel) bool { return now-k.at >= 2*admission.Second })
+}
+
+// A part of a datagram holds so much of a message; longer ones come in several: how many (1 byte), which (1), and the message's number (4).
+const mostPart = 1000
+
+func (p *policies) Send(to string, m []byte) {
+	f := p.f
+	if to == f.name {
+		f.box.Put(func() { p.heard(f.clock.Now(), f.name, m) })
+		return
+	}
+	other, ok := f.core.Find(to)
+	if !ok || other.State == member.Left {
+		return
+	}
+	moment("sent")
+	n := (len(m) + mostPart - 1) / mostPart
+	if n > 255 {
+		return // none is as long
+	}
+	p.sent++
+	for i := range n {
+		b := []byte{byte(n), byte(i)}
+		b = binary.BigEndian.AppendUint32(b, p.sent)
+		f.send(other.Address, part{partCharter, append(b, m[i*mostPart:min(len(m), (i+1)*mostPart)]...)})
+	}
+}
+
+// part takes in a part of a datagram.
+func (p *policies) part(at admission.Time, l *letter, b []byte) error {
+	if len(b) < 6 || b[0] == 0 || b[1] >= b[0] {
+		return errBroken
+	}
+	n, i, id, b := int(b[0]), int(b[1]), binary.BigEndian.Uint32(b[2:]), b[6:]
+	if n == 1 {
+		return p.heard(at, l.name, b)
+	}
+	k := slices.IndexFunc(p.parts, func(k parcel) bool { return k.from == l.name && k.start == l.start && k.id == id })
+	if k < 0 {
+		const most = 64 // under way at a time; the oldest goes
+		if len(p.parts) >= most {
+			p.parts = slices.Delete(p.parts, 0, 1)
+		}
+		k = len(p.parts)
+		p.parts = append(p.parts, parcel{l.name, l.start, id, make([][]byte, n), n, at})
+	}
+	m := &p.parts[k]
+	if len(m.parts) != n {
+		return errBroken
+	}
+	if m.parts[i] == nil {
+		m.parts[i] = b
+		m.left--
+	}
+	if m.left > 0 {
+		return nil
+	}
+	whole := slices.Concat(m.parts...)
+	p.parts = slices.Delete(p.parts, k, k+1)
+	return p.heard(at, l.name, whole)
+}
+
+func (p *policies) heard(at admission.Time, from string, m []byte) error {
+	if p.core.Heard(at, from, m) != nil {
+		return errBroken
+	}
+	return nil
+}
+
+func (p *policies) Others() []string { return lender{p.f}.Others() }
+
+// Check reads a policy beside the fleet's goroutine: a long one takes its time.
+func (p *policies) Check(d charter.Digest, text []byte, done func(charter.Terms, error)) {
+	f := p.f
+	go func() {
+		policy, err := p.desk.Read(text)
+		if err == nil {
+			err = olderBuild(text)
+		}
+		if err == nil {
+			if names, _ := policy.Budgets(); len(names) > 0 && f.rights == nil {
+				err = fmt.Errorf("statements.classes: expected fleet.budgets in this gateway's file, as %s is the fleet's, found nothing", strings.Fields(names[0])[0])
+			}
+		}
+		f.box.Put(func() {
+			if err != nil {
+				done(charter.Terms{}, err)
+				return
+			}
+			p.read[d] = policy
+			done(policy.Terms(), nil)
+		})
+	}()
+}
+
+func (p *policies) Keep(records []consensus.Record, done func(error)) {
+	f := p.f
+	for i, r := range records {
+		var told func(error)
+		if i == len(records)-1 {
+			told = func(err error) { f.box.Put(func() { done(err) }) }
+		}
+		if r.Value == nil {
+			p.store.Delete(store.Key(r.Key), told)
+		} else {
+			p.store.Put(store.Key(r.Key), r.Value, told)
+		}
+	}
+}
+
+func (p *policies) Load(d charter.Digest) []byte {
+	if p.store == nil {
+		return nil
+	}
+	return charter.Text(d, func(key [16]byte) []byte {
+		b, _, err := p.store.Get(store.Key(key))
+		if err != nil {
+			p.f.log.Warn("policy", "code", string(charter.CantKeep), "error", err)
+		}
+		return b
+	})
+}
+
+// Stand has this gateway go by another standing: the fleet's budgets at once, the desk at its next decision.
+func (p *policies) Stand(s *charter.Standing) {
+	f := p.f
+	r := &Ruling{Standing: *s, Policy: p.read[s.Digest], Trial: p.read[s.Rehearse]}
+	if (s.Other != charter.Digest{}) {
+		r.Other = p.read[s.Other]
+	}
+	keep := []charter.Digest{s.Digest, s.Other, s.Rehearse}
+	for _, d := range s.Known {
+		keep = append(keep, d)
+		if k := p.read[d]; k != nil {
+			r.Known = append(r.Known, k)
+		}
+	}
+	if s.Until > 0 && f.rights != nil && (p.inUse != s.Digest || p.number != s.Number) {
+		p.inUse, p.number = s.Digest, s.Number
+		p.share(r)
+	}
+	for d := range p.read {
+		if len(p.read) > 16 && !slices.Contains(keep, d) {
+			delete(p.read, d) // which one goes decides nothing: it is read again where it is needed
+		}
+	}
+	if f.history != nil {
+		f.history.Write(history.Event{What: history.Stands, Of: s.Era, Number: int(s.Number), Good: s.Until > 0, Code: s.Digest.String()})
+	}
+	f.ruling.Store(r)
+}
+
+// share goes by the budgets of a policy under its number.
+func (p *policies) share(r *Ruling) {
+	f := p.f
+	b := *f.plan.Budgets
+	b.Number, b.Names, b.Totals = r.Number+1, nil, nil
+	if b.Cold {
+		b.Names, b.Totals = ColdBudgets()
+	}
+	if r.Policy != nil {
+		names, totals := r.Policy.Budgets()
+		b.Names, b.Totals = append(b.Names, names...), append(b.Totals, totals...)
+	}
+	if err := f.Renew(&b); err != nil {
+		f.log.Error("fleet", "code", "kept", "error", err)
+	}
+}
+
+func (p *policies) Drained() bool        { return p.f.passing.Load() == 0 }
+func (p *policies) Count() charter.Count { return p.desk.Counted() }
+func (p *policies) Wall() int64          { return time.Now().Unix() }
+
+func (p *policies) Say(code charter.Code, more ...any) {
+	level := slog.LevelInfo
+	switch code {
+	case charter.Behind, charter.Lost, charter.Forced, charter.Overruled, charter.CantKeep, charter.TakenBack, charter.Follows:
+		level = slog.LevelWarn
+	}
+	moment(string(code))
+	p.f.log.Log(context.Background(), level, "policy", append([]any{"code", string(code)}, more...)...)
+}
+
+// stop gives up what is held, and closes the folder.
+func (p *policies) stop(now admission.Time) {
+	p.core.Leave(now)
+	if p.store != nil {
+		if err := p.store.Close(); err != nil {
+			p.f.log.Warn("policy", "code", string(charter.CantKeep), "error", err)
+		}
+	}
+}
+
+// PolicyAsk is what a control socket is asked for.
+type PolicyAsk struct {
+	Do     string   `json:"do"` // status, propose, rehearse, rollback, await, text, voters or force
+	ID     uint64   `json:"id,omitempty"`
+	Text   []byte   `json:"text,omitempty"`
+	Base   uint64   `json:"base,omitempty"`
+	Number uint64   `json:"number,omitempty"`
+	For    int64    `json:"for,omitempty"` // ms
+	Voters []string `json:"voters,omitempty"`
+}
+
+// PolicyAnswer is what it answers.
+type PolicyAnswer struct {
+	Error  string        `json:"error,omitempty"`
+	Result *PolicyResult `json:"result,omitempty"`
+	Status *PolicyStatus `json:"status,omitempty"`
+	Text   []byte        `json:"text,omitempty"`
+}
+
+// PolicyResult is what became of a proposal.
+type PolicyResult struct {
+	ID     uint64 `json:"id"`
+	End    string `json:"end"`
+	Number uint64 `json:"number,omitempty"`
+	Why    string `json:"why,omitempty"`
+}
+
+// PolicyStatus is what a gateway knows of policies.
+type PolicyStatus struct {
+	Name     string         `json:"name"`
+	Number   uint64         `json:"number"` // that it goes by, or went by last
+	Era      uint64         `json:"era"`
+	Digest   string         `json:"digest"`
+	Lease    float64        `json:"lease"` // seconds for which it holds without another word; 0: it does not
+	Decided  uint64         `json:"decided"`
+	Leader   string         `json:"leader"`
+	Voters   []string       `json:"voters"`
+	Votes    bool           `json:"votes"`
+	Learning bool           `json:"learning,omitempty"`
+	Proposal string         `json:"proposal,omitempty"`
+	Offered  string         `json:"offered,omitempty"` // its digest
+	Ready    bool           `json:"ready,omitempty"`
+	Why      string         `json:"why,omitempty"`
+	Change   string         `json:"change,omitempty"`
+	Cannot   string         `json:"cannot_follow,omitempty"`
+	Past     []PolicyAct    `json:"past,omitempty"`
+	Ends     []PolicyResult `json:"ends,omitempty"`
+	Members  []PolicyMember `json:"members,omitempty"`
+}
+
+// PolicyAct is one policy that was in force.
+type PolicyAct struct {
+	Number uint64 `json:"number"`
+	Digest string `json:"digest"`
+	Size   int    `json:"size"`
+	Kind   string `json:"kind"`
+	By     string `json:"by"`
+	At     int64  `json:"at"` // seconds, Unix
+	Of     uint64 `json:"of,omitempty"`
+}
+
+// PolicyMember is one as the leader knows it.
+type PolicyMember struct {
+	Name  string  `json:"name"`
+	Heard float64 `json:"heard"` // seconds ago
+	Lease float64 `json:"lease"` // seconds until it has surely ended
+	Ready bool    `json:"ready"`
+	Out   bool    `json:"out"`
+	Why   string  `json:"why,omitempty"`
+}
+
+// ask serves one request of the control socket, in the fleet's goroutine; reply is called once.
+func (p *policies) ask(now admission.Time, q *PolicyAsk, reply func(*PolicyAnswer)) {
+	failed := func(err error) { reply(&PolicyAnswer{Error: err.Error()}) }
+	propose := func(kind charter.Kind) {
+		err := p.core.Propose(now, charter.Proposal{ID: q.ID, Kind: kind, Text: q.Text, Base: q.Base, Of: q.Number, For: tenths(time.Duration(q.For) * time.Millisecond)},
+			func(r charter.Result) { reply(&PolicyAnswer{Result: result(r)}) })
+		if err != nil {
+			failed(err)
+		}
+	}
+	switch q.Do {
+	case "status":
+		reply(&PolicyAnswer{Status: p.status(now)})
+	case "propose":
+		propose(charter.Change)
+	case "rehearse":
+		propose(charter.Rehearsal)
+	case "rollback":
+		propose(charter.Rollback)
+	case "await": // how far one is that was made here
+		r, ok := p.core.Progress(q.ID)
+		if !ok {
+			failed(fmt.Errorf("no proposal %08x was made here", uint32(q.ID>>32)))
+			return
+		}
+		reply(&PolicyAnswer{Result: result(r)})
+	case "text":
+		d, err := p.digest(now, q.Number)
+		if err != nil {
+			failed(err)
+			return
+		}
+		text := p.core.Text(d)
+		if text == nil && (d != charter.Digest{}) {
+			failed(fmt.Errorf("the text of number %d isn't here: ask a voter", q.Number))
+			return
+		}
+		reply(&PolicyAnswer{Text: text})
+	case "voters":
+		if err := p.core.Want(now, q.Voters); err != nil {
+			failed(err)
+			return
+		}
+		reply(&PolicyAnswer{Status: p.status(now)})
+	case "force":
+		if err := p.core.Force(now, q.Voters); err != nil {
+			failed(err)
+			return
+		}
+		reply(&PolicyAnswer{Status: p.status(now)})
+	default:
+		failed(fmt.Errorf("expected status, propose, rehearse, rollback, await, text, voters or force, found %q", q.Do))
+	}
+}
+
+// digest is that of a number that this gateway knows.
+func (p *policies) digest(now admission.Time, number uint64) (charter.Digest, error) {
+	s := p.core.State(now)
+	if number == s.Standing.Number {
+		return s.Standing.Digest, nil
+	}
+	for _, a := range s.Past {
+		if a.Number == number {
+			return a.Digest, nil
+		}
+	}
+	if number == 0 {
+		return charter.Digest{}, nil
+	}
+	return charter.Digest{}, fmt.Errorf("number %d isn't known here: ask a voter, which knows the last ones", number)
+}
+
+func result(r charter.Result) *PolicyResult {
+	return &PolicyResult{ID: r.ID, End: r.End.String(), Number: r.Number, Why: r.Why}
+}
+
+func (p *policies) status(now admission.Time) *PolicyStatus {
+	s := p.core.State(now)
+	out := &PolicyStatus{Name: s.Name, Number: s.Standing.Number, Era: s.Standing.Era, Digest: s.Standing.Digest.String(), Lease: seconds(s.Lease), Decided: s.Decided,
+		Leader: s.Leader, Voters: s.Voters, Votes: s.Votes, Learning: s.Learning, Ready: s.Ready, Why: s.Why, Change: s.Change}
+	if s.Open != 0 {
+		out.Proposal, out.Offered = fmt.Sprintf("%08x", uint32(s.Open>>32)), s.OpenIs.String()
+	}
+	if (s.Cannot != charter.Digest{}) {
+		out.Cannot = s.Cannot.String()
+	}
+	for _, a := range s.Past {
+		out.Past = append(out.Past, PolicyAct{a.Number, a.Digest.String(), a.Size, a.Kind.String(), a.By, a.At, a.Of})
+	}
+	for _, e := range s.Ends {
+		out.Ends = append(out.Ends, *result(charter.Result{ID: e.ID, End: e.End, Number: e.Number, Why: e.Why}))
+	}
+	for _, m := range s.Members {
+		out.Members = append(out.Members, PolicyMember{m.Name, seconds(m.Heard), seconds(m.Lease), m.Ready, m.Out, m.Why})
+	}
+	return out
+}
+
+var errNoCharter = errors.New("this gateway's file has no fleet.policy")
--- a/internal/fleet/seal.go
+++ b/internal/fleet/seal.go
@@ -28,6 +28,7 @@
 	partJudgement = 2
 	partBudget    = 3
 	partTally     = 4
+	partCharter   = 5
 )
 
 // mostDatagram is under what networks carry whole.
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -3,11 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math"
+	"net"
 	"strings"
 	"time"
 
 	"magpiebank/internal/admission"
+	"magpiebank/internal/charter"
 )
 
 // Status is what a member tells of itself over its control socket.
@@ -130,21 +133,62 @@
 	return strings.Join(parts, ", ")
 }
 
-// answer tells the state to whoever connects to the control socket, one JSON object each.
+// answer serves whoever connects to the control socket: one request, as a JSON object, and its answer.
 func (f *Fleet) answer() {
 	for {
 		c, err := f.control.Accept()
 		if err != nil {
 			return
 		}
-		c.SetDeadline(time.Now().Add(2 * time.Second))
-		got := make(chan *Status, 1)
-		f.box.Put(func() { got <- f.status(f.clock.Now()) })
-		select {
-		case s := <-got:
-			json.NewEncoder(c).Encode(s)
-		case <-f.ended:
+		go func() {
+			defer c.Close()
+			if err := f.serve(c); err != nil {
+				f.log.Warn("fleet", "code", "control", "error", err)
+			}
+		}()
+	}
+}
+
+// longestAsk is how long a proposal may be waited for at the control socket.
+const longestAsk = 10 * time.Minute
+
+func (f *Fleet) serve(c net.Conn) error {
+	if err := allowed(c); err != nil {
+		return err
+	}
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	var q request
+	if err := json.NewDecoder(io.LimitReader(c, 2*charter.MostText)).Decode(&q); err != nil {
+		return fmt.Errorf("expected a request, found %w", err)
+	}
+	got := make(chan any, 1)
+	f.box.Put(func() {
+		now := f.clock.Now()
+		switch {
+		case q.Policy == nil:
+			got <- f.status(now)
+		case f.policies.core == nil:
+			got <- &PolicyAnswer{Error: errNoCharter.Error()}
+		default:
+			f.policies.ask(now, q.Policy, func(a *PolicyAnswer) {
+				select {
+				case got <- a:
+				default: // it was answered
+				}
+			})
 		}
-		c.Close()
+	})
+	select {
+	case s := <-got:
+		c.SetDeadline(time.Now().Add(5 * time.Second))
+		return json.NewEncoder(c).Encode(s)
+	case <-f.ended:
+	case <-time.After(longestAsk):
 	}
+	return nil
+}
+
+// request is what a control socket is asked; with nothing, for the state.
+type request struct {
+	Policy *PolicyAsk `json:"policy,omitempty"`
 }
--- a/internal/form/form.go
+++ b/internal/form/form.go
@@ -69,6 +69,38 @@
 	return f, f.object(nil, object), nil
 }
 
+// FromJSON reads a text with nothing to evaluate, and no lines to name: errors begin with the field.
+func FromJSON(text []byte) (*Object, error) {
+	var root any
+	if err := json.Unmarshal(text, &root); err != nil {
+		return nil, err
+	}
+	object, ok := root.(map[string]any)
+	if !ok {
+		return nil, fmt.Errorf("expected an object, found %s", kind(root))
+	}
+	return (&File{lines: &places{}}).object(nil, object), nil
+}
+
+// Place puts the file's name and line before an error that begins with the path of a field, as in "load.parts[1].rate: expected ...".
+func (f *File) Place(text string) string {
+	path, _, _ := strings.Cut(text, ": ")
+	return fmt.Sprintf("%s:%d: %s", f.name, f.lines.line(steps(nil, path)), text)
+}
+
+// steps are those of a path in words.
+func steps(from []any, path string) []any {
+	out := slices.Clone(from)
+	for _, step := range strings.FieldsFunc(path, func(r rune) bool { return r == '.' || r == '[' || r == ']' }) {
+		if n, err := strconv.Atoi(step); err == nil {
+			out = append(out, n)
+		} else {
+			out = append(out, step)
+		}
+	}
+	return out
+}
+
 // mostDepth ends a file that calls itself without end; no useful one nests deeper.
 const mostDepth = 200
 
@@ -121,7 +153,21 @@
 
 func (f *File) fail(path []any, want, found string) {
 	line := f.lines.line(path)
-	f.errs = append(f.errs, problem{line, fmt.Sprintf("%s:%d: %s: expected %s, found %s", f.name, line, spell(path), want, found)})
+	f.errs = append(f.errs, problem{line, fmt.Sprintf("%s%s: expected %s, found %s", f.before(line), spell(path), want, found)})
+}
+
+// before is the place that an error begins with; a text that is no file has none.
+func (f *File) before(line int) string {
+	if f.name == "" {
+		return ""
+	}
+	return fmt.Sprintf("%s:%d: ", f.name, line)
+}
+
+// Raw is a field's value as it is.
+func (o *Object) Raw(name string) any {
+	o.known[name] = true
+	return o.value[name]
 }
 
 // Fail notes what was expected of a field, for what only the caller can tell.
@@ -131,16 +177,9 @@
 // expected ...".
 func (o *Object) Refuse(err error) {
 	path, text, _ := strings.Cut(err.Error(), ": ")
-	steps := slices.Clone(o.path)
-	for _, step := range strings.FieldsFunc(path, func(r rune) bool { return r == '.' || r == '[' || r == ']' }) {
-		if n, err := strconv.Atoi(step); err == nil {
-			steps = append(steps, n)
-		} else {
-			steps = append(steps, step)
-		}
-	}
-	line := o.file.lines.line(steps)
-	o.file.errs = append(o.file.errs, problem{line, fmt.Sprintf("%s:%d: %s: %s", o.file.name, line, spell(steps), text)})
+	at := steps(o.path, path)
+	line := o.file.lines.line(at)
+	o.file.errs = append(o.file.errs, problem{line, o.file.before(line) + spell(at) + ": " + text})
 }
 
 func spell(path []any) string {
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -55,6 +55,9 @@
 	Done    = "done"    // Code, Number
 	Counted = "counted" // Number: tasks that wait, Most: that run, at Engine or, with none, at all of them
 	Reading = "reading" // Age, Engine or none; Code: waits or runs; Number to Most: what all together had of it; below 0: no bound
+	Stands  = "stands"  // Number: of the policy that it goes by, Of: its era, Good: it holds a lease on it
+	Decided = "decided" // Code: taken, refused, crowded, sent or unsure; Task, Number: of the policy that it was decided by (-1: by none), Out: by what that one and a proposal after it allow
+	Wrote   = "wrote"   // Task: a hand-off that was decided is written
 	Ended   = "ended"   // the process stopped by itself
 )
 
--- a/internal/operator/desk.go
+++ b/internal/operator/desk.go
@@ -9,6 +9,7 @@
 
 	"magpiebank/internal/admission"
 	"magpiebank/internal/deployment"
+	"magpiebank/internal/fleet"
 	"magpiebank/internal/route"
 	"magpiebank/internal/router"
 	"magpiebank/internal/statement"
@@ -28,7 +29,11 @@
 	next   atomic.Pointer[Statements] // a file that was read and is not yet gone by
 	saidAt time.Time
 	agedAt time.Time
-	told   told
+	said   told
+	zones  []string // the site's names
+	kinds  []string
+	now    admission.Time
+	ruled
 }
 
 // told are the book's counts at the last line.
@@ -40,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Desk{file: s, book: s.Book(len(start.Network.Lanes)), route: r, lanes: start.Network.Lanes, log: log,
+	d := &Desk{zones: start.Network.Zones, kinds: start.Network.Kinds, file: s, book: s.Book(len(start.Network.Lanes)), route: r, lanes: start.Network.Lanes, log: log,
 		keeps: s.Snapshot, saidAt: time.Now(), agedAt: time.Now()}
 	for _, l := range start.Site.Lanes {
 		d.loads = append(d.loads, l.Load)
@@ -67,9 +72,11 @@
 	if s.LogEvery == 0 { // the file has no statements any more: they are read as long as the gateway runs, and nothing limits them
 		s.Memory, s.LogEvery, s.Snapshot = d.file.Memory, d.file.LogEvery, d.keeps
 	}
-	if err := d.route.Renew(now, &s.Plan); err != nil {
-		d.log.Warn("operator's file", "code", "kept", "error", err)
-		return
+	if d.law == nil {
+		if err := d.route.Renew(now, &s.Plan); err != nil {
+			d.log.Warn("operator's file", "code", "kept", "error", err)
+			return
+		}
 	}
 	for field, same := range map[string]bool{"memory": s.Memory == d.file.Memory, "snapshot": s.Snapshot == d.keeps} {
 		if !same {
@@ -86,6 +93,15 @@
 
 // Open, Pool and In are what the decisions ask.
 func (d *Desk) Open(now admission.Time, class int, threads float64) bool {
+	d.now = now
+	if d.law != nil {
+		v := d.law.Ruling()
+		by := v.By(now)
+		if by == 0 || !d.follow(now, v, by) {
+			return false
+		}
+		d.opened = by
+	}
 	return d.route.Open(now, class, threads)
 }
 
@@ -101,6 +117,9 @@
 // Listed takes in a delivery of the engine list.
 func (d *Desk) Listed(now admission.Time, form admission.Form, list []admission.Listing) {
 	d.route.Listed(now, form, list)
+	if d.shadow != nil {
+		d.shadow.Listed(now, form, list)
+	}
 }
 
 // Due is the timer.
@@ -108,6 +127,18 @@
 	if s := d.next.Swap(nil); s != nil {
 		d.renew(now, s)
 	}
+	d.now = now
+	if d.law != nil {
+		v := d.law.Ruling()
+		if by := v.By(now); by != 0 {
+			d.follow(now, v, by)
+		}
+		d.rehearse(now, v)
+		if d.shadow != nil {
+			d.shadow.Due(now)
+		}
+		d.tell()
+	}
 	d.route.Due(now)
 	wall := time.Now()
 	if hours := int64(wall.Sub(d.agedAt) / time.Hour); hours > 0 {
@@ -124,10 +155,14 @@
 func (d *Desk) say() {
 	b := d.book
 	now := told{b.Seen.Load(), b.Parsed.Load(), b.Answers.Load(), b.Wrong.Load()}
-	last := d.told
-	d.told = now
+	last := d.said
+	d.said = now
 	d.log.Info("statements", "seen", now.seen-last.seen, "new_shapes", now.parsed-last.parsed, "answers", now.answers-last.answers,
 		"wrong", now.wrong-last.wrong, "unread", b.Unparsed.Load(), "moved", b.Moved.Load(), "split", b.Split.Load())
+	if d.law != nil {
+		d.log.Info("policy", "code", "counts", "number", d.count.Of, "tasks", d.count.Tasks, "classed", d.count.Classed, "refused", d.count.Refused, "held", d.count.Held,
+			"unsure", d.Unsure)
+	}
 	for _, c := range d.route.States() {
 		d.log.Info("class", "name", c.Name, "retired", c.Retired, "limit", fmt.Sprintf("%.1f", c.Limit), "running", c.Running,
 			"waiting", c.Waiting, "taken", c.Taken, "crowded", c.Crowded, "refused", c.Refused, "delivered", c.Delivered)
@@ -135,8 +170,11 @@
 }
 
 // Arrived rules on the task that a reader has read.
-func (d *Desk) Arrived(r router.Reader) (f admission.Foreseen, crowded bool, refuse string) {
+func (d *Desk) Arrived(now admission.Time, r router.Reader) (f admission.Foreseen, crowded bool, refuse string) {
 	k := r.(*Reader)
+	if d.now = now; d.law != nil {
+		return d.arrivedBy(now, k)
+	}
 	if plan := d.plan.Load(); plan != k.plan { // another file has come in between
 		k.plan, k.entry = plan, plan.Find(&k.subject)
 	}
@@ -147,25 +185,63 @@
 	case route.Crowded:
 		return f, true, ""
 	}
-	if e := &k.subject.Estimate; e.Known {
-		f = admission.Foreseen{Work: tenths(e.Work), Upper: tenths(e.Upper), Memory: e.Memory}
-	}
+	f = k.foreseen()
 	f.Class = number
 	return f, false, ""
 }
 
+func (r *Reader) foreseen() (f admission.Foreseen) {
+	if e := &r.subject.Estimate; e.Known {
+		f = admission.Foreseen{Work: tenths(e.Work), Upper: tenths(e.Upper), Memory: e.Memory}
+	}
+	return f
+}
+
 // Sent takes in a hand-off.
-func (d *Desk) Sent(f admission.Foreseen, threads float64) float64 {
-	return d.route.Sent(f.Class, threads, ms(f.Work))
+func (d *Desk) Sent(f admission.Foreseen, threads float64) (charged float64, by uint64) {
+	if n := d.triedAs(&f); n > 0 {
+		if !d.shadow.Open(d.now, n, threads) {
+			d.tried.Held++
+		}
+		d.shadow.Sent(n, threads, ms(f.Work))
+	}
+	if f.Class == 0 {
+		return 0, 0
+	}
+	return d.route.Sent(f.Class, threads, ms(f.Work)), d.opened
 }
 
 // Back takes in a hand-off's end.
-func (d *Desk) Back(class int, threads, charged float64, work admission.Time, waits bool) {
-	d.route.Back(class, threads, charged, ms(work), waits)
+func (d *Desk) Back(f admission.Foreseen, threads, charged float64, work admission.Time, waits bool) {
+	if n := d.triedAs(&f); n > 0 {
+		d.shadow.Back(n, threads, charged, ms(work), waits)
+	}
+	if f.Class > 0 {
+		d.route.Back(f.Class, threads, charged, ms(work), waits)
+	}
 }
 
 // Left takes in that a waiting task got its final answer.
-func (d *Desk) Left(class int) { d.route.Left(class) }
+func (d *Desk) Left(f admission.Foreseen) {
+	if n := d.triedAs(&f); n > 0 {
+		d.shadow.Left(n)
+	}
+	if f.Class > 0 {
+		d.route.Left(f.Class)
+	}
+}
+
+// Pass tells whether a hand-off may be written that was decided by some number of the fleet's policies.
+func (d *Desk) Pass(by uint64, task admission.TaskID) bool {
+	return d.law == nil || d.law.Pass(by, task)
+}
+
+// Passed takes in that it is written.
+func (d *Desk) Passed(by uint64, task admission.TaskID) {
+	if d.law != nil {
+		d.law.Passed(by, task)
+	}
+}
 
 // Reader is for one more session.
 func (d *Desk) Reader() router.Reader { return &Reader{d: d} }
@@ -177,12 +253,22 @@
 	subject route.Subject
 	plan    *route.Plan
 	entry   int // of the plan's classes, from 1; 0: none
+
+	// Where the fleet decides.
+	ruling  *fleet.Ruling
+	second  int  // of the policy that may be gone by besides
+	tried   int  // of the one that is rehearsed
+	touched bool // some policy that was heard of has a class for it
 }
 
 // Read finds a statement's shape, cost and class.
 func (r *Reader) Read(sql []byte, lane, tables int) {
 	r.sight = r.d.book.Look(sql, tables, lane)
 	r.subject = route.Subject{Lane: r.d.lanes[lane], Features: r.sight.Features(), Estimate: r.d.book.Estimate(&r.sight)}
+	if r.d.law != nil {
+		r.look(r.d.law.Ruling())
+		return
+	}
 	r.plan = r.d.plan.Load()
 	r.entry = r.plan.Find(&r.subject)
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,7 @@
 type File struct {
 	Statements *Statements // nil: statements are not looked at
 	Fleet      *fleet.Plan // nil: this gateway speaks to no other
+	Proposed   bool        // it has classes or pools that are gone by only once the fleet has decided so
 }
 
 // Statements has statements estimated before they are handed to the decisions.
--- /dev/null
+++ b/internal/operator/source/policy.go
@@ -0,0 +1,99 @@
+package source
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/charter"
+	"magpiebank/internal/form"
+	"magpiebank/internal/operator"
+)
+
+// Policy takes the part of an operator's file that is the fleet's policy (pools, classes, and what is asked of a change) out of it,
+// as members read it: JSON, with nothing left to evaluate.
+func Policy(file string) (text []byte, err error) {
+	f, o, err := form.Read(file)
+	if err != nil {
+		return nil, err
+	}
+	whole := map[string]any{}
+	if s, ok := o.Raw("statements").(map[string]any); ok {
+		part := map[string]any{}
+		for _, name := range []string{"pools", "classes"} {
+			if v := s[name]; v != nil {
+				part[name] = v
+			}
+		}
+		whole["statements"] = part
+	}
+	if p := o.Raw("policy"); p != nil {
+		whole["policy"] = p
+	}
+	if text, err = json.Marshal(whole); err != nil {
+		return nil, err
+	}
+	if _, err := ParsePolicy(text); err != nil {
+		return nil, fmt.Errorf("%s", f.Place(err.Error()))
+	}
+	return text, nil
+}
+
+// Place puts a file's name and line before what a member found amiss, whose text begins with the field.
+func Place(file, why string) string {
+	if _, err := os.Stat(file); err != nil {
+		return why
+	}
+	f, _, err := form.Read(file)
+	if err != nil {
+		return why
+	}
+	return f.Place(why)
+}
+
+// ParsePolicy reads a policy; an error begins with the field.
+func ParsePolicy(text []byte) (*operator.Policy, error) {
+	o, err := form.FromJSON(text)
+	if err != nil {
+		return nil, err
+	}
+	p := &operator.Policy{}
+	if s := o.Object("statements"); s != nil {
+		p.Plan = plan(s)
+	}
+	if k := o.Object("policy"); k != nil {
+		p.Asked = terms(k)
+	}
+	return p, o.Err()
+}
+
+// usualBoth is how long a gateway that hears nothing goes by what two policies allow, where it does.
+const usualBoth = 30 * time.Second
+
+// terms reads what a policy asks of the change to it.
+func terms(k *form.Object) (t charter.Terms) {
+	length := func(o *form.Object, name string, usual, most time.Duration) admission.Time {
+		d := o.Duration(name, usual)
+		if d < 100*time.Millisecond || d > most {
+			o.Fail(name, fmt.Sprintf(`a time from "100ms" to "%v"`, most))
+		}
+		return admission.Time(d / (100 * time.Microsecond))
+	}
+	if k.OneOf("silent", "nack", "nack", "both") == "both" {
+		t.Both = length(k, "both_for", usualBoth, 5*time.Minute)
+	} else if k.Has("both_for") {
+		k.Fail("both_for", `none but with silent: "both"`)
+	}
+	bounds := func(o *form.Object) charter.Bounds {
+		return charter.Bounds{Refused: o.Share("refused_above", 1), Held: o.Share("held_above", 1)}
+	}
+	if o := k.Object("rehearse"); o != nil {
+		t.Rehearse, t.Guard = length(o, "for", 5*time.Second, 5*time.Minute), bounds(o)
+	}
+	if o := k.Object("probation"); o != nil {
+		t.Probation, t.Bounds = length(o, "for", 30*time.Second, time.Hour), bounds(o)
+	}
+	return t
+}
--- a/internal/operator/source/source.go
+++ b/internal/operator/source/source.go
@@ -2,6 +2,7 @@
 package source
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net/netip"
@@ -70,12 +71,26 @@
 			if b.Term < time.Second || b.Term > time.Hour {
 				k.Fail("term", `a time from "1s" to "1h"`)
 			}
+			if k.Has("number") && f.Fleet.Policy != nil {
+				k.Fail("number", "none where there is fleet.policy: totals follow the policy's number")
+			} else if f.Fleet.Policy != nil {
+				b.Number = 0
+			}
 			if b.Cold = k.Flag("cold", false); b.Cold {
 				b.Names, b.Totals = fleet.ColdBudgets()
 			}
 			f.Fleet.Budgets = b
 		}
 	}
+	if p := o.Object("policy"); p != nil && (f.Fleet == nil || f.Fleet.Policy == nil) {
+		o.Refuse(errors.New("policy: expected fleet.policy in the file, by which it takes hold, found nothing"))
+	} else if p != nil {
+		terms(p)
+	}
+	if s := f.Statements; s != nil && f.Fleet != nil && f.Fleet.Policy != nil {
+		f.Proposed = len(s.Plan.Pools)+len(s.Plan.Classes) > 0
+		s.Plan = route.Plan{} // what is gone by is what the fleet has decided
+	}
 	if s := f.Statements; s != nil {
 		for i, c := range s.Plan.Classes {
 			if !c.Fleet {
@@ -100,6 +115,13 @@
 // usualRate bounds what a gateway tells of engines: a hundred bytes to each of five hundred, four times a second.
 const usualRate = 200 << 10
 
+// A gateway that hears nothing goes on by its policy for three seconds: a leader that dies is followed within two. A proposal is taken
+// within some tenths of a second; who needs five is in trouble, and the change goes on without it.
+const (
+	usualLease  = 3 * time.Second
+	usualWithin = 5 * time.Second
+)
+
 // usualTerm is how long a gateway that hears nothing goes on with its part: a restart of the network's gear, and not for good.
 const usualTerm = time.Minute
 
@@ -123,6 +145,18 @@
 			l.Fail("seeds", "addresses and ports, of which "+s+" is none")
 		}
 	}
+	if k := l.Object("policy"); k != nil {
+		p.Policy = &fleet.PolicyPlan{Voters: k.Texts("voters"), Folder: k.Text("folder", ""), Lease: k.Duration("lease", usualLease), Within: k.Duration("within", usualWithin)}
+		if n := len(p.Policy.Voters); n != 1 && n != 3 && n != 5 && n != 7 {
+			k.Fail("voters", "the names of 3, 5 or 7 gateways, or of one")
+		}
+		if d := p.Policy.Lease; d < time.Second || d > time.Minute {
+			k.Fail("lease", `a time from "1s" to "1m"`)
+		}
+		if d := p.Policy.Within; d < time.Second || d > time.Minute {
+			k.Fail("within", `a time from "1s" to "1m"`)
+		}
+	}
 	if p.Rate < 1<<10 || p.Rate > 1<<30 {
 		l.Fail("bytes_per_second", `a size from "1kB" to "1GB"`)
 	}
--- a/internal/route/desk.go
+++ b/internal/route/desk.go
@@ -124,25 +124,8 @@
 // what runs counts under it, and a limit below that lets nothing more out until enough has ended. One that the plan
 // lacks stands until the last of its tasks has ended.
 func (d *Desk) Renew(now admission.Time, plan *Plan) error {
-	places := make([]pool, len(plan.Pools))
-	for i := range plan.Pools {
-		p := &places[i]
-		p.Pool = plan.Pools[i]
-		for _, f := range []struct {
-			field       string
-			names, site []string
-			to          *[]int
-		}{{"zones", p.Zones, d.zones, &p.zones}, {"kinds", p.Kinds, d.kinds, &p.kinds}} {
-			for _, name := range f.names {
-				n := slices.Index(f.site, name)
-				if n < 0 {
-					return fmt.Errorf("statements.pools[%d].%s: expected some of %q, which this site has, found %q", i, f.field, f.site, name)
-				}
-				*f.to = append(*f.to, n)
-			}
-		}
-	}
-	if err := plan.check(); err != nil {
+	places, err := plan.places(d.zones, d.kinds)
+	if err != nil {
 		return err
 	}
 	for i := range plan.Classes {
@@ -195,9 +178,38 @@
 	return nil
 }
 
+// Check tells why a site with such zones and kinds of machines can't go by a plan.
+func (p *Plan) Check(zones, kinds []string) error {
+	_, err := p.places(zones, kinds)
+	return err
+}
+
+// places finds a plan's pools among the site's zones and kinds.
+func (plan *Plan) places(zones, kinds []string) ([]pool, error) {
+	places := make([]pool, len(plan.Pools))
+	for i := range plan.Pools {
+		p := &places[i]
+		p.Pool = plan.Pools[i]
+		for _, f := range []struct {
+			field       string
+			names, site []string
+			to          *[]int
+		}{{"zones", p.Zones, zones, &p.zones}, {"kinds", p.Kinds, kinds, &p.kinds}} {
+			for _, name := range f.names {
+				n := slices.Index(f.site, name)
+				if n < 0 {
+					return nil, fmt.Errorf("statements.pools[%d].%s: expected some of %q, which this site has, found %q", i, f.field, f.site, name)
+				}
+				*f.to = append(*f.to, n)
+			}
+		}
+	}
+	return places, plan.check()
+}
+
 // check finds what a plan says twice, or of pools that it doesn't have.
 func (p *Plan) check() error {
-	if len(p.Classes) > MostClasses {
+	if n := len(p.Classes); n > MostClasses && !(n == MostClasses+1 && p.Classes[n-1].Name == Rest) {
 		return fmt.Errorf("statements.classes: expected at most %d, found %d", MostClasses, len(p.Classes))
 	}
 	pools, classes := map[string]bool{}, map[string]bool{}
@@ -488,6 +500,87 @@
 	}
 }
 
+// Shadow is a desk that sees the same engines and goes by another plan, to see what that would come to. Of what is the fleet's it takes
+// one gateway's equal part.
+func (d *Desk) Shadow(now admission.Time, plan *Plan, gateways int) (*Desk, error) {
+	own := Plan{Pools: plan.Pools, Classes: slices.Clone(plan.Classes)}
+	for i := range own.Classes {
+		if c := &own.Classes[i]; c.Fleet {
+			n := float64(max(1, gateways))
+			c.Fleet, c.Threads, c.Work = false, math.Ceil(c.Threads/n), c.Work/n
+			c.Waiting = int(math.Ceil(float64(c.Waiting) / n))
+		}
+	}
+	s, err := New(now, &own, d.cores, d.zones, d.kinds)
+	if err != nil {
+		return nil, err
+	}
+	s.Listed(now, admission.Whole, d.engines)
+	for n := range s.classes {
+		if c := &s.classes[n]; c.inUse {
+			c.limit = s.target(c)
+		}
+	}
+	return s, nil
+}
+
+// Meet is what two plans both allow: classes that both have by the same name, with the lower limits, the engines of both pools, and refused
+// where either refuses. A task that they class differently is of none of its classes: see Agree.
+func Meet(a, b *Plan) *Plan {
+	out := &Plan{}
+	pool := func(p *Plan, name string) Pool {
+		for _, o := range p.Pools {
+			if o.Name == name {
+				return o
+			}
+		}
+		return Pool{}
+	}
+	narrow := func(x, y []string) (out []string, none bool) {
+		if len(x) == 0 || len(y) == 0 {
+			return append(slices.Clone(x), y...), false
+		}
+		for _, name := range x {
+			if slices.Contains(y, name) {
+				out = append(out, name)
+			}
+		}
+		return out, len(out) == 0
+	}
+	least := func(x, y float64) float64 {
+		if x == 0 || y == 0 {
+			return x + y
+		}
+		return min(x, y)
+	}
+	for _, c := range a.Classes {
+		k := slices.IndexFunc(b.Classes, func(o Class) bool { return o.Name == c.Name })
+		if k < 0 {
+			c.Refuse = "its class is changing"
+			c.Pool, c.Fleet = "", false
+			out.Classes = append(out.Classes, c)
+			continue
+		}
+		o := &b.Classes[k]
+		c.Threads, c.Work, c.Waiting = least(c.Threads, o.Threads), least(c.Work, o.Work), int(least(float64(c.Waiting), float64(o.Waiting)))
+		if c.Fleet = c.Fleet || o.Fleet; c.Refuse == "" {
+			c.Refuse = o.Refuse
+		}
+		x, y := pool(a, c.Pool), pool(b, o.Pool)
+		zones, noZone := narrow(x.Zones, y.Zones)
+		kinds, noKind := narrow(x.Kinds, y.Kinds)
+		if noZone || noKind {
+			c.Refuse = "its engines are changing"
+		}
+		if c.Pool = ""; len(zones)+len(kinds) > 0 && !noZone && !noKind {
+			c.Pool = "both of " + c.Name
+			out.Pools = append(out.Pools, Pool{c.Pool, zones, kinds})
+		}
+		out.Classes = append(out.Classes, c)
+	}
+	return out
+}
+
 // State is one class as it stands.
 type State struct {
 	Name           string
--- a/internal/route/plan.go
+++ b/internal/route/plan.go
@@ -21,6 +21,16 @@
 // a bit each in 64, and classes of an older plan still stand while their tasks run.
 const MostClasses = 30
 
+// Rest is the class of tasks that no other class takes, where they are to be asked about as well; it has no limits, and doesn't count among
+// those.
+const Rest = "(rest)"
+
+// WithRest is a plan that has it, and the number of it, counted from 1.
+func (p *Plan) WithRest() (*Plan, int) {
+	out := &Plan{Pools: p.Pools, Classes: append(slices.Clone(p.Classes), Class{Name: Rest, When: Fits{Lanes: []string{Rest}}})}
+	return out, len(out.Classes)
+}
+
 // Pool is a part of the fleet; what is empty is not asked for.
 type Pool struct {
 	Name         string
--- a/internal/router/handoff.go
+++ b/internal/router/handoff.go
@@ -29,8 +29,9 @@
 	carried   bool // the owner's: it was handed to its carrier
 
 	// As the desk counts it.
-	class            int
+	foreseen         admission.Foreseen
 	threads, charged float64
+	by               uint64 // the rules that had it go out; 0: none that may change
 
 	rank    int
 	link    *link
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -64,13 +64,35 @@
 	l.e.mu.Lock()
 	rank := h.rank
 	l.e.mu.Unlock()
+	passed := false
 	l.write(func() net.Buffers {
-		if !h.state.CompareAndSwap(fresh, written) {
+		if h.by != 0 && !l.e.o.desk.Pass(h.by, h.task) {
+			l.barred(h)
+			return nil
+		}
+		if passed = h.by != 0; !h.state.CompareAndSwap(fresh, written) {
 			return nil
 		}
 		return resp.Do(make([]byte, 0, 256), string(h.task), h.lane, max(1, int64(h.patience/admission.Millisecond)),
 			h.memory, rank, h.statement)
 	})
+	if passed {
+		l.e.o.desk.Passed(h.by, h.task)
+	}
+}
+
+// barred ends a hand-off that was not written, as the rules that had it go out are gone by no more: nothing ran, and the engine has
+// no part in it.
+func (l *link) barred(h *handOff) {
+	if h.withdraw() {
+		l.e.mu.Lock()
+		if l.open[h.task] == h {
+			l.over(h)
+			delete(l.open, h.task)
+		}
+		l.e.mu.Unlock()
+		l.e.o.tellEnded(h, admission.Moot)
+	}
 }
 
 // write gathers buffers into the connection. One that takes no more within the time in which connections come
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -134,7 +134,7 @@
 		return
 	}
 	if o.desk != nil {
-		f, crowded, refuse := o.desk.Arrived(t.reader)
+		f, crowded, refuse := o.desk.Arrived(now, t.reader)
 		switch {
 		case refuse != "":
 			t.by.barred(refuse)
@@ -147,12 +147,12 @@
 		t.foreseen, t.class = f, f.Class
 	}
 	if o.keep != nil && !o.take(now, t) {
-		if t.class > 0 {
-			o.desk.Left(t.class)
+		if t.seen() {
+			o.desk.Left(t.foreseen)
 		}
 		return
 	}
-	t.held = t.class > 0
+	t.held = t.seen()
 	o.tasks[t.id] = t
 	o.moved(t, Place{In: true})
 	t.rank = 1
@@ -234,7 +234,7 @@
 	o.moved(t, Place{})
 	if t.held {
 		t.held = false
-		o.desk.Left(t.class)
+		o.desk.Left(t.foreseen)
 	}
 }
 
