--- /dev/null
+++ b/internal/scenario/builtin/policy-dies-telling.jsonnet
@@ -0,0 +1,12 @@
+// The leader dies after a change was decided and some were told. Another leads; the change has one end, the same for all, and the dead one comes back with its folder.
+{
+  name: 'policy-dies-telling', gateways: 8, loads: 0.5, rate: 8, length: '14s', dies: 'yielding decided 4 kill',
+  policy: { voters: 5, lease: '2s' },
+  steps: [
+    { at: '1s', do: 'propose', gateways: ['g7'], threads: 6 },
+    { at: '3s', do: 'propose', gateways: ['g6'], threads: 7 },
+    { at: '9s', do: 'revive', gateways: ['g*'] },
+    { at: '11s', do: 'propose', gateways: ['g5'], threads: 8 },
+  ],
+  expect: [{ decided: 2 }],
+}
--- /dev/null
+++ b/internal/scenario/builtin/policy-force.jsonnet
@@ -0,0 +1,14 @@
+// Two of three voters are lost for good. Nothing is decided, leases end, and loads are turned away, until the operator forces a new log at
+// the third; the two come back with what they had, and join the new one.
+{
+  name: 'policy-force', gateways: 8, loads: 0.5, rate: 6, length: '40s',
+  policy: { voters: 3, lease: '2s' },
+  steps: [
+    { at: '1s', do: 'propose', gateways: ['g7'], threads: 6 },
+    { at: '3s', until: '16s', do: 'kill', gateways: ['g[01]'] },
+    { at: '8s', do: 'force', gateways: ['g2', 'g3', 'g4'] },
+    { at: '14s', do: 'propose', gateways: ['g6'], threads: 7 },
+    { at: '25s', do: 'propose', gateways: ['g0'], threads: 8 },
+  ],
+  expect: [{ decided: 3 }],
+}
--- /dev/null
+++ b/internal/scenario/policy.go
@@ -0,0 +1,321 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"magpiebank/internal/fleet"
+	"magpiebank/internal/history"
+	"magpiebank/internal/site"
+)
+
+// Proposed is a proposal that was made, and what became of it.
+type Proposed struct {
+	At     time.Duration `json:"at"` // from the load's begin
+	By     string        `json:"by"`
+	Took   time.Duration `json:"took"`
+	End    string        `json:"end"` // unknown: nobody could tell
+	Number uint64        `json:"number"`
+	Why    string        `json:"why,omitempty"`
+	id     uint64
+}
+
+func (p Proposed) String() string {
+	return strings.TrimSpace(fmt.Sprintf("%s %d %s", p.End, p.Number, p.Why))
+}
+
+// endsWithin is how long a proposal may take at most, with a majority of the voters there: to take it, three times the longest lease that may
+// have to end, an election and some tries (charter's own limit, and what it takes to be told).
+func (s *Scenario) endsWithin() time.Duration {
+	longest := s.Charter.Lease
+	for _, t := range s.Steps {
+		longest = max(longest, t.Policy.Both)
+	}
+	return s.Charter.Within + 4*longest + 20*time.Second
+}
+
+// asks has a gateway asked something, and while it is away another.
+func (p *play) asks(ctx context.Context, first *site.Gateway, q *fleet.PolicyAsk, by time.Time) (*fleet.PolicyAnswer, error) {
+	turn := slices.Index(p.site.Gateways, first)
+	var last error
+	for time.Now().Before(by) {
+		all := p.site.Gateways
+		g := all[turn%len(all)]
+		turn++
+		p.mu.Lock()
+		down := p.down[g.Label()]
+		p.mu.Unlock()
+		if !down && g.Up() {
+			until, stop := context.WithDeadline(ctx, by)
+			a, err := fleet.AskPolicy(until, g.Control, q)
+			stop()
+			if err == nil && a.Error == "" {
+				return a, nil
+			}
+			if last = err; err == nil {
+				last = errors.New(a.Error)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	return nil, fmt.Errorf("no gateway answered: %w", last)
+}
+
+// offer makes a proposal, and waits for its end beside what else happens.
+func (p *play) offer(t Step) {
+	var first *site.Gateway
+	p.each(t.Gateways, func(g *site.Gateway) error {
+		if first == nil {
+			first = g
+		}
+		return nil
+	})
+	if first == nil {
+		p.wrong = append(p.wrong, fmt.Sprintf("step at %v: no gateway is called %v", t.At, t.Gateways))
+		return
+	}
+	if t.Do == "voters" || t.Do == "force" {
+		q := &fleet.PolicyAsk{Do: t.Do, Voters: t.Gateways}
+		if _, err := p.asks(context.Background(), first, q, time.Now().Add(10*time.Second)); err != nil {
+			p.wrong = append(p.wrong, fmt.Sprintf("step at %v: %s: %v", t.At, t.Do, err))
+		}
+		return
+	}
+	if p.drawn == nil {
+		p.drawn = map[string]uint64{}
+	}
+	id := p.drawn[t.As]
+	if id == 0 {
+		if id = rand.Uint64() | 1; t.As != "" {
+			p.drawn[t.As] = id
+		}
+	}
+	t.Policy.Fleet = p.s.Whole.Any()
+	q := &fleet.PolicyAsk{Do: map[string]string{"change": "propose", "rollback": "rollback", "rehearse": "rehearse"}[t.Kind], ID: id, Text: t.Policy.Text(), Number: uint64(t.Number),
+		For: t.Policy.Rehearse.Milliseconds()}
+	if t.Kind == "rollback" {
+		q.Text = nil
+	}
+	p.offers.Add(1)
+	go func() {
+		defer p.offers.Done()
+		began := time.Now()
+		a, err := p.asks(context.Background(), first, q, began.Add(p.s.endsWithin()))
+		k := Proposed{At: began.Sub(p.began), By: first.Label(), Took: time.Since(began), End: "unknown", id: id}
+		if err == nil && a.Result != nil {
+			k.End, k.Number, k.Why = a.Result.End, a.Result.Number, a.Result.Why
+		} else if err != nil {
+			k.Why = err.Error()
+		}
+		p.mu.Lock()
+		p.made = append(p.made, k)
+		p.mu.Unlock()
+	}()
+}
+
+// first has the scenario's limits be the first policy, and all go by it.
+func (p *play) first(ctx context.Context) error {
+	q := &fleet.PolicyAsk{Do: "propose", ID: 1, Text: (&site.Policy{Whole: p.s.Whole, Fleet: p.s.Whole.Any()}).Text()}
+	by := time.Now().Add(p.s.Settle + 5*p.s.Charter.Lease)
+	a, err := p.asks(ctx, p.site.Gateways[len(p.site.Gateways)-1], q, by)
+	if err != nil {
+		return fmt.Errorf("eventual: the first policy was not decided: %w", err)
+	}
+	if a.Result == nil || a.Result.End != "decided" {
+		return fmt.Errorf("eventual: the first policy was not decided: %+v", a.Result)
+	}
+	for time.Now().Before(by) {
+		if p.apartOnPolicy() == "" {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return fmt.Errorf("eventual: not all go by the first policy: %s", p.apartOnPolicy())
+}
+
+// apartOnPolicy is the first gateway that is there and does not go by what the others do; empty: there is none.
+func (p *play) apartOnPolicy() string {
+	number, of := uint64(0), ""
+	for _, g := range p.site.Gateways {
+		p.mu.Lock()
+		down := p.down[g.Label()]
+		p.mu.Unlock()
+		if down {
+			continue
+		}
+		if s, err := fleet.Ask(g.Control); err != nil || s.Quiet {
+			continue // another process has its name
+		}
+		ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
+		a, err := fleet.AskPolicy(ctx, g.Control, &fleet.PolicyAsk{Do: "status"})
+		stop()
+		switch {
+		case err != nil:
+			return g.Label() + ": " + err.Error()
+		case a.Status == nil || a.Status.Lease == 0:
+			return g.Label() + " holds no lease"
+		case of != "" && a.Status.Number != number:
+			return fmt.Sprintf("%s goes by number %d, %s by %d", g.Label(), a.Status.Number, of, number)
+		}
+		number, of = a.Status.Number, g.Label()
+	}
+	return ""
+}
+
+// PolicyFigures are what a run came to as to policies.
+type PolicyFigures struct {
+	Decisions int           `json:"decisions"` // that bear a number
+	Older     int           `json:"older"`     // by an older one after a newer
+	Unsure    int           `json:"unsure"`    // loads turned away as nobody knew what held for them
+	Loads     int           `json:"loads"`     // that came
+	Highest   int           `json:"highest"`   // number gone by
+	Gap50     time.Duration `json:"gap50"`     // between the look whether a hand-off may be written, and when it was
+	Gap99     time.Duration `json:"gap99"`
+	GapMost   time.Duration `json:"gap_most"`
+	Took50    time.Duration `json:"took50"` // of proposals that took hold
+	Took99    time.Duration `json:"took99"`
+}
+
+// CheckPolicies reads a merged history for what must hold of policies: nobody decides by a number after anybody has decided by a later one;
+// one number is one policy; who decides by a number has said that it holds a lease on it.
+func CheckPolicies(events []history.Event) (f PolicyFigures, out []string) {
+	type process struct {
+		name  string
+		start uint64
+	}
+	type hand struct {
+		process
+		task string
+	}
+	say := func(e *history.Event, format string, args ...any) {
+		out = append(out, fmt.Sprintf("%.3f s, %s: policy: %s", float64(e.At-events[0].At)/1e9, e.Process, fmt.Sprintf(format, args...)))
+	}
+	digests, holds := map[int]string{}, map[process]int{}
+	looked := map[hand]int64{}
+	var gaps []time.Duration
+	// A number is gone by from the first write that was looked at after it was; so what was looked at earlier may be written down later.
+	type first struct {
+		at int64
+		by string
+	}
+	begun := map[int]first{} // by number: when one was surely decided by it
+	for i := range events {
+		e := &events[i]
+		if e.What != history.Decided || e.Number < 0 || e.Out {
+			continue
+		}
+		if b, ok := begun[e.Number]; !ok || e.At < b.at {
+			begun[e.Number] = first{e.At, e.Process}
+		}
+	}
+	for i := range events {
+		e := &events[i]
+		k := process{e.Process, e.Start}
+		switch e.What {
+		case history.Stands:
+			if d, ok := digests[e.Number]; ok && d != e.Code && e.Good {
+				say(e, "number %d is %s here, and %s elsewhere", e.Number, e.Code, d)
+			} else if e.Good {
+				digests[e.Number] = e.Code
+			}
+			if e.Good {
+				holds[k] = max(holds[k], e.Number+1)
+			}
+		case history.Wrote:
+			if at, ok := looked[hand{k, e.Task}]; ok {
+				gaps = append(gaps, time.Duration(e.At-at))
+				delete(looked, hand{k, e.Task})
+			}
+		case history.Decided:
+			if e.Code == "unsure" {
+				f.Unsure++
+				break
+			}
+			if e.Number < 0 {
+				break
+			}
+			f.Decisions++
+			if f.Highest = max(f.Highest, e.Number); e.Code == "sent" {
+				looked[hand{k, e.Task}] = e.AsOf
+			}
+			if holds[k] < e.Number+1 {
+				say(e, "%s by number %d, without a word that it goes by it", e.Code, e.Number)
+			}
+			later, by := int64(0), ""
+			most := e.Number
+			if e.Out {
+				most++ // what two allow is good under both
+			}
+			number := 0
+			for n, b := range begun {
+				if n > most && b.at < e.AsOf && (later == 0 || b.at < later) {
+					later, by, number = b.at, b.by, n
+				}
+			}
+			if later > 0 {
+				f.Older++
+				say(e, "%s of %s by number %d, %.1f ms after %s decided by %d", e.Code, e.Task, e.Number, float64(e.AsOf-later)/1e6, by, number)
+			}
+		}
+	}
+	slices.Sort(gaps)
+	if n := len(gaps); n > 0 {
+		f.Gap50, f.Gap99, f.GapMost = gaps[n/2], gaps[n*99/100], gaps[n-1]
+	}
+	return f, out
+}
+
+// judgePolicies holds a run's histories and proposals against what must hold.
+func (p *play) judgePolicies(r *Result) {
+	f, wrong := CheckPolicies(r.Events)
+	r.Proposals = p.made
+	slices.SortFunc(r.Proposals, func(a, b Proposed) int { return int(a.At - b.At) })
+	var took []time.Duration
+	ends := map[uint64]Proposed{}
+	for _, k := range r.Proposals {
+		if k.End == "decided" {
+			took = append(took, k.Took)
+		}
+		if k.End == "unknown" || k.End == "pending" {
+			wrong = append(wrong, fmt.Sprintf("eventual: what %s proposed at %v had not ended %v later: %s", k.By, k.At.Round(time.Millisecond), k.Took.Round(time.Millisecond), k.Why))
+		}
+		if b, ok := ends[k.id]; ok && b.End != k.End {
+			wrong = append(wrong, fmt.Sprintf("policy: one proposal is %s and %s", b, k))
+		}
+		ends[k.id] = k
+	}
+	slices.Sort(took)
+	if n := len(took); n > 0 {
+		f.Took50, f.Took99 = took[n/2], took[n*99/100]
+	}
+	for i := range r.Tasks {
+		f.Loads += btoi(r.Tasks[i].Load)
+	}
+	r.Policies = &f
+	r.Violations = append(r.Violations, wrong...)
+}
+
+// Text writes them for people.
+func (f *PolicyFigures) Text(out io.Writer, list []Proposed) {
+	ends := map[string]int{}
+	for _, k := range list {
+		ends[k.End]++
+	}
+	fmt.Fprintf(out, "%d proposals:", len(list))
+	for _, e := range sortedKeys(ends) {
+		fmt.Fprintf(out, " %d %s", ends[e], e)
+	}
+	fmt.Fprintf(out, "; number %d at the end; until they took hold %.0f ms at the median, %.0f at p99\n", f.Highest, f.Took50.Seconds()*1000, f.Took99.Seconds()*1000)
+	fmt.Fprintf(out, "%d decisions, %d by an older number after a newer; %d of %d loads turned away for want of a lease; %.3f ms from look to write at the median, %.3f at p99, %.3f at most\n",
+		f.Decisions, f.Older, f.Unsure, f.Loads, f.Gap50.Seconds()*1000, f.Gap99.Seconds()*1000, f.GapMost.Seconds()*1000)
+}
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -79,6 +79,8 @@
 	Colds      []ColdStart     `json:"colds,omitempty"`
 	Runs       []standin.Run   `json:"-"` // loads and look-ups, as the engines have them
 	Began      time.Time       `json:"-"` // of the load
+	Proposals  []Proposed      `json:"proposals,omitempty"`
+	Policies   *PolicyFigures  `json:"policies,omitempty"`
 }
 
 // Good tells whether all held.
@@ -95,13 +97,17 @@
 	began   time.Time
 	dbs     map[string]*sql.DB
 	clients sync.WaitGroup
+	folder  string
+	offers  sync.WaitGroup // proposals that have not ended
+	made    []Proposed
+	drawn   map[string]uint64 // ids of proposals that have a name
 	wrong   []string
 }
 
 // Run plays a scenario. Files go to a folder; program is the gateway's, which must be of the laboratory's build where clocks run
 // off or a defect is planted.
 func Run(ctx context.Context, s *Scenario, folder, program string) (*Result, error) {
-	if s.Planted != "" || len(s.Clocks)+len(s.Disks) > 0 {
+	if s.Planted+s.Dies != "" || len(s.Clocks)+len(s.Disks)+len(s.Defects) > 0 {
 		if out, err := exec.Command(program, "version").Output(); err != nil || !strings.Contains(string(out), "laboratory") {
 			return nil, fmt.Errorf("scenario %s: clocks that run off, disks that fail and planted defects need a gateway built with -tags lab, %s is none", s.Name, program)
 		}
@@ -110,7 +116,7 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, err
 	}
-	for _, kind := range []string{"*.history", "*.state", "*.older"} { // of a run before: its tasks bear the same ids
+	for _, kind := range []string{"*.history", "*.state", "*.policy", "*.older", "died"} { // of a run before: its tasks bear the same ids
 		old, _ := filepath.Glob(filepath.Join(folder, kind))
 		for _, f := range old {
 			os.RemoveAll(f)
@@ -120,9 +126,9 @@
 	if s.Service > 0 {
 		loads = standin.Spread{Kind: "constant", Mean: s.Service}
 	}
-	p := &play{s: s, net: fault.New(s.Seed), killed: map[string][]time.Duration{}, down: map[string]bool{}, dbs: map[string]*sql.DB{}}
+	p := &play{s: s, folder: folder, net: fault.New(s.Seed), killed: map[string][]time.Duration{}, down: map[string]bool{}, dbs: map[string]*sql.DB{}}
 	plan := site.Plan{Gateways: s.Gateways, Engines: s.Engines, Zones: s.Zones, Cores: 8, MemoryMB: 96, Sockets: 384, ConnectWithin: 250 * time.Millisecond,
-		Idle: 30 * time.Second, Seed: int64(s.Seed), Program: program, Fleet: &site.Fleet{Seeds: 2, Sharing: s.Sharing, Counts: s.Counts, Whole: s.Whole, Term: s.Term}, Relayed: p.net, State: s.State, Down: s.Down,
+		Idle: 30 * time.Second, Seed: int64(s.Seed), Program: program, Fleet: &site.Fleet{Seeds: 2, Sharing: s.Sharing, Counts: s.Counts, Whole: s.Whole, Term: s.Term, Charter: s.Charter}, Relayed: p.net, State: s.State, Down: s.Down,
 		Lanes: []site.Lane{{Name: "look", Quoted: quoted, Longest: s.Longest, Earnings: lookWorth, Effect: "idempotent", Threads: 1},
 			{Name: "load", Quoted: quoted, Longest: s.Longest, Earnings: loadWorth, Effect: "unrepeatable", Threads: 1}},
 		Env: p.env,
@@ -149,6 +155,11 @@
 	} else if r.Joined, ok = p.settle(ctx, s.Settle); !ok {
 		r.Violations = append(r.Violations, fmt.Sprintf("eventual: at the start the members did not know each other after %v: %s", s.Settle, p.apart()))
 	}
+	if s.Charter.Voters > 0 {
+		if err := p.first(ctx); err != nil {
+			r.Violations = append(r.Violations, err.Error())
+		}
+	}
 	if s.Whole.Any() || s.Cold {
 		p.seated(ctx, s.Settle) // keepers confirm nothing for a term and some after they have started
 	}
@@ -160,6 +171,7 @@
 	err = p.act(ctx)
 	cancel()
 	p.clients.Wait()
+	p.offers.Wait()
 	p.net.Clear("")
 	if err == nil {
 		if r.Settled, ok = p.settle(ctx, s.Settle); !ok {
@@ -200,6 +212,9 @@
 			r.Displaced++
 		}
 	}
+	if s.Charter.Voters > 0 {
+		p.judgePolicies(r)
+	}
 	r.Violations = append(r.Violations, r.missed()...)
 	return r, nil
 }
@@ -213,6 +228,17 @@
 		if x.Displaced > 0 && r.Displaced != x.Displaced {
 			out = append(out, fmt.Sprintf("expected: %d processes displaced, found %d", x.Displaced, r.Displaced))
 		}
+		decided, found := 0, x.Ends+x.Why == ""
+		for _, k := range r.Proposals {
+			decided += btoi(k.End == "decided")
+			found = found || (x.Ends == "" || k.End == x.Ends) && strings.Contains(k.Why, x.Why)
+		}
+		if decided < x.Decided {
+			out = append(out, fmt.Sprintf("expected: %d proposals that take hold, found %d: %v", x.Decided, decided, r.Proposals))
+		}
+		if !found {
+			out = append(out, fmt.Sprintf("expected: a proposal that is %s, with %q; found %v", x.Ends, x.Why, r.Proposals))
+		}
 		for _, o := range r.Outages() {
 			if x.Engine == o.Engine && o.T95 > x.Within {
 				out = append(out, fmt.Sprintf("expected: %s, which %s from %v on, is left alone by 95%% of the gateways within %v, found %v", o.Engine, o.Be, o.At, x.Within,
@@ -228,6 +254,12 @@
 	if p.s.Planted != "" {
 		out = append(out, "MAGPIEBANK_PLANTED="+p.s.Planted)
 	}
+	if d := p.s.Defects[name]; d != "" {
+		out = append(out, "MAGPIEBANK_PLANTED="+p.s.Planted+d)
+	}
+	if p.s.Dies != "" {
+		out = append(out, "MAGPIEBANK_DIE="+p.s.Dies+" "+filepath.Join(p.folder, "died"))
+	}
 	if c := p.s.Clocks[name]; c != "" {
 		out = append(out, "MAGPIEBANK_CLOCK="+c)
 	}
@@ -319,8 +351,8 @@
 		}
 	case "kill":
 		return p.each(t.Gateways, func(g *site.Gateway) error {
-			if t.Folder == "older" && p.s.State {
-				g.KeepState()
+			if t.Folder == "older" && !g.Kept() {
+				g.Keep()
 			}
 			p.gone(g, true)
 			g.Kill()
@@ -353,6 +385,19 @@
 			}
 			return nil
 		})
+	case "revive": // whoever is not there, or stands still
+		return p.each(t.Gateways, func(g *site.Gateway) error {
+			g.Signal(syscall.SIGCONT)
+			if g.Up() {
+				return nil
+			}
+			p.gone(g, true)
+			return p.start(g)
+		})
+	case "keep":
+		return p.each(t.Gateways, (*site.Gateway).Keep)
+	case "propose", "voters", "force":
+		p.offer(t)
 	case "list":
 		for _, l := range p.site.Lists {
 			if t.Be == "held" {
@@ -413,7 +458,7 @@
 			var err error
 			switch t.Folder {
 			case "none":
-				err = g.ForgetState()
+				err = g.Forget()
 			case "older":
 				err = g.BringBack()
 			}
@@ -525,6 +570,9 @@
 			}
 		}
 	}
+	if p.s.Charter.Voters > 0 {
+		return p.apartOnPolicy()
+	}
 	return ""
 }
 
@@ -650,6 +698,17 @@
 			return true
 		}
 	}
+	if died, err := os.Stat(filepath.Join(p.folder, "died")); err == nil && p.s.Dies != "" { // whoever that was, until it was brought back
+		revived := p.s.Length
+		for _, s := range p.s.Steps {
+			if s.Do == "revive" {
+				revived = s.At
+			}
+		}
+		if at := died.ModTime().Sub(p.began); at-time.Second <= t.At+t.Took && t.At <= revived+time.Second && slices.Contains(p.site.Voters(), t.Gateway) {
+			return true
+		}
+	}
 	for _, s := range p.s.Steps {
 		until := s.Until
 		if until == 0 {
@@ -676,6 +735,9 @@
 		fmt.Fprintf(out, " %d %s", r.Ends[end], end)
 	}
 	fmt.Fprintf(out, "; %.3f of the worth served within its time\n", r.Served)
+	if r.Policies != nil {
+		r.Policies.Text(out, r.Proposals)
+	}
 	for _, c := range r.Colds {
 		fmt.Fprintf(out, "%s, cold from %v on, was sent %.2f of what tips it over at most; tasks by second %v\n", c.Engine, c.At, c.Most, c.Tasks)
 	}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -39,9 +39,12 @@
 	Sharing  bool
 	Counts   bool // are shared
 	State    bool
+	Charter  site.Charter      // how policies are decided on; without voters each gateway goes by its file
 	Planted  string            // a defect, to see that it is found
 	Clocks   map[string]string // by process: rate, jump and when, as MAGPIEBANK_CLOCK
 	Born     map[string]string // by process: how far its wall clock is off at its start, as MAGPIEBANK_BORN
+	Defects  map[string]string // by process: what is planted there alone
+	Dies     string            // where the first voter that comes to it ends itself, or stands still, as MAGPIEBANK_DIE without its file
 	Disks    map[string]string // by gateway: how the disk under its record fails and when, as MAGPIEBANK_DISK
 	Down     []string          // gateways that are not started before a step does it
 	Steps    []Step
@@ -63,17 +66,24 @@
 	Displaced int           // processes that find their name taken by a later one
 	Engine    string        // that is sent nothing new
 	Within    time.Duration // this long after it turned bad, by 95% of the gateways, to the end of its bad time
+	Decided   int           // least number of proposals that take hold
+	Ends      string        // how one of them ends, as in "dropped", and why: words that stand in it
+	Why       string
 }
 
 // Step is a fault, or the end of one.
 type Step struct {
 	At, Until time.Duration // Until 0: to the end, or it has no length
-	Do        string        // link, kill, stop, leave, start, twin, engine, list, limit or surge
+	Do        string        // link, kill, stop, leave, start, twin, engine, list, limit, surge, propose, voters, force, keep or revive
 	From, To  []string      // of a link
 	Both      bool          // the other direction too
 	Rule      fault.Rule
 	Gateways  []string
-	Folder    string // after a kill: same, none or older
+	Folder    string // after a kill: same, none or older, which is as it was kept, or at the kill
+	Kind      string // of what is proposed: change, rollback or rehearse
+	Policy    site.Policy
+	Number    int    // of the policy gone back to
+	As        string // proposals of one name are one, proposed again
 	Engines   []string
 	Whole     site.Whole // the limits that some go by from then on
 	Rate      float64    // tasks a second more at some, while it lasts
@@ -82,7 +92,7 @@
 
 // The words of a step.
 var (
-	doings = []string{"link", "kill", "stop", "leave", "start", "twin", "engine", "list", "limit", "surge"}
+	doings = []string{"link", "kill", "stop", "leave", "start", "twin", "engine", "list", "limit", "surge", "propose", "voters", "force", "keep", "revive"}
 	beings = []string{"silent", "errs", "loses", "slow", "refuses", "paused", "restarts", "drains", "gone", "held", "broken"}
 )
 
@@ -146,6 +156,19 @@
 	if len(s.Zones) == 0 {
 		s.Zones = []string{"norte", "sur"}
 	}
+	if c := o.Object("policy"); c != nil {
+		s.Charter = site.Charter{Voters: c.Count("voters", 5, 1, 7), Lease: c.Duration("lease", 2*time.Second), Within: c.Duration("within", 3*time.Second)}
+		if s.Charter.Voters > s.Gateways || s.Charter.Voters%2 == 0 {
+			c.Fail("voters", "1, 3, 5 or 7 of the gateways")
+		}
+	}
+	s.Dies = o.Text("dies", "")
+	for _, k := range o.Objects("planted_at") {
+		if s.Defects == nil {
+			s.Defects = map[string]string{}
+		}
+		s.Defects[k.Needed("gateway")] = k.Needed("defect")
+	}
 	if c := o.Objects("clocks"); len(c) > 0 {
 		s.Clocks = map[string]string{}
 		for _, k := range c {
@@ -162,14 +185,15 @@
 	if d := o.Objects("disks"); len(d) > 0 {
 		s.Disks = map[string]string{}
 		for _, k := range d {
-			s.Disks[k.Needed("gateway")] = k.OneOf("be", "full", "full", "slow", "unsynced") + " " + k.Duration("after", 0).String()
+			s.Disks[k.Needed("gateway")] = k.OneOf("be", "full", "full", "slow", "unsynced", "lies") + " " + k.Duration("after", 0).String()
 		}
-		if !s.State {
-			o.Fail("state", "true, where disks fail")
+		if !s.State && s.Charter.Voters == 0 {
+			o.Fail("state", "true, or a policy, where disks fail")
 		}
 	}
 	for _, k := range o.Objects("expect") {
 		x := Expectation{Served: k.Share("served", 0), Displaced: k.Count("displaced", 0, 0, 64), Engine: k.Text("engine", ""), Within: k.Duration("within", 0)}
+		x.Decided, x.Ends, x.Why = k.Count("decided", 0, 0, 1000), k.Text("ends", ""), k.Text("why", "")
 		if (x.Engine == "") != (x.Within == 0) {
 			k.Fail("engine", "an engine that turns bad, and within which time it is left alone")
 		}
@@ -186,6 +210,15 @@
 		if t.Do == "limit" {
 			t.Whole = whole(k)
 		}
+		if t.Do == "propose" {
+			t.Kind, t.Number, t.As = k.OneOf("kind", "change", "change", "rollback", "rehearse"), k.Count("number", 0, 0, 1e6), k.Text("as", "")
+			t.Policy = site.Policy{Whole: whole(k), Refuse: k.Flag("refuse", false), Looks: k.Flag("looks", false), Zones: k.Texts("zones"), Field: k.Text("field", ""),
+				Both: k.Duration("both_for", 0), Rehearse: k.Duration("rehearse", 0), Guard: k.Share("guard", 0), Probation: k.Duration("probation", 0), Bound: k.Share("bound", 0),
+				Size: k.Size("size", 0)}
+			if s.Charter.Voters == 0 {
+				k.Fail("do", "policy in the file, by which it is decided on")
+			}
+		}
 		t.Rate = k.Number("more", 0, 0, 1000)
 		if k.Has("be") {
 			t.Be = k.OneOf("be", "", beings...)
@@ -197,7 +230,7 @@
 			k.Fail("do", "from, to, and what such a link does, as in cut: true")
 		case (t.Do == "engine") != (len(t.Engines) > 0) || (t.Do == "engine" || t.Do == "list") != (t.Be != ""):
 			k.Fail("do", "engines and be where engines are told to be something, be where the list is")
-		case slices.Contains([]string{"kill", "stop", "leave", "start", "twin", "limit", "surge"}, t.Do) && len(t.Gateways) == 0:
+		case slices.Contains([]string{"kill", "stop", "leave", "start", "twin", "limit", "surge", "propose", "voters", "force", "keep", "revive"}, t.Do) && len(t.Gateways) == 0:
 			k.Fail("gateways", "some of them, as in ['g1']")
 		}
 		for _, p := range slices.Concat(t.From, t.To, t.Gateways, t.Engines) {
@@ -255,9 +288,22 @@
 	field("sharing", s.Sharing)
 	field("counts", s.Counts)
 	field("state", s.State)
+	if c := s.Charter; c.Voters > 0 {
+		field("policy", map[string]any{"voters": c.Voters, "lease": d(c.Lease), "within": d(c.Within)})
+	}
 	if s.Planted != "" {
 		field("planted", s.Planted)
 	}
+	if s.Dies != "" {
+		field("dies", s.Dies)
+	}
+	var defects []map[string]any
+	for _, g := range sortedKeys(s.Defects) {
+		defects = append(defects, map[string]any{"gateway": g, "defect": s.Defects[g]})
+	}
+	if defects != nil {
+		field("planted_at", defects)
+	}
 	if len(s.Down) > 0 {
 		field("down", s.Down)
 	}
@@ -318,6 +364,22 @@
 		case "surge":
 			field("gateways", t.Gateways)
 			field("more", t.Rate)
+		case "propose":
+			field("gateways", t.Gateways)
+			field("kind", t.Kind)
+			y := t.Policy
+			limits(y.Whole)
+			for _, f := range []struct {
+				name string
+				is   bool
+				v    any
+			}{{"number", t.Number > 0, t.Number}, {"as", t.As != "", t.As}, {"refuse", y.Refuse, true}, {"looks", y.Looks, true}, {"zones", len(y.Zones) > 0, y.Zones},
+				{"field", y.Field != "", y.Field}, {"both_for", y.Both > 0, d(y.Both)}, {"rehearse", y.Rehearse > 0, d(y.Rehearse)}, {"guard", y.Guard > 0, y.Guard},
+				{"probation", y.Probation > 0, d(y.Probation)}, {"bound", y.Bound > 0, y.Bound}, {"size", y.Size > 0, fmt.Sprintf("%dB", y.Size)}} {
+				if f.is {
+					field(f.name, f.v)
+				}
+			}
 		default:
 			field("gateways", t.Gateways)
 			if t.Do == "kill" {
@@ -341,6 +403,15 @@
 				field("engine", x.Engine)
 				field("within", d(x.Within))
 			}
+			if x.Decided > 0 {
+				field("decided", x.Decided)
+			}
+			if x.Ends != "" {
+				field("ends", x.Ends)
+			}
+			if x.Why != "" {
+				field("why", x.Why)
+			}
 			b.WriteString(" },\n")
 		}
 		b.WriteString(" ],")
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -20,6 +22,7 @@
 	Cold    bool // what cold engines may be sent is shared
 	Whole   Whole
 	Term    time.Duration // for which a part of it is held without a word
+	Charter Charter
 	key     string
 	seeds   []string
 }
@@ -31,6 +34,97 @@
 	Number           int           // raised with every change
 }
 
+// Charter is how the gateways decide on policies; without voters each goes by its own file.
+type Charter struct {
+	Voters        int // the first so many
+	Lease, Within time.Duration
+}
+
+// Policy is one that is proposed: what loads may use, and what is asked of the change.
+type Policy struct {
+	Whole
+	Fleet     bool          // they are those of all gateways together
+	Refuse    bool          // loads are never sent
+	Looks     bool          // look-ups are of a class as well
+	Zones     []string      // of the pool that loads go to
+	Field     string        // one that no build knows
+	Both      time.Duration // for which who hears nothing goes by what both policies allow
+	Rehearse  time.Duration
+	Guard     float64 // share of tasks that may be refused otherwise in the rehearsal; 0: any
+	Probation time.Duration
+	Bound     float64 // and held under it; 0: any
+	Size      int64   // bytes that its text is filled up to
+}
+
+// Text is a policy as it is proposed.
+func (p *Policy) Text() []byte {
+	class := map[string]any{"name": "loads", "when": map[string]any{"lanes": []string{"load"}}}
+	if p.Whole.limit(class); !p.Fleet {
+		delete(class, "fleet") // each gateway's own
+	}
+	classes, pools := []any{class}, []any{}
+	if p.Refuse {
+		class["refuse"] = "loads rest"
+	}
+	if p.Looks {
+		classes = append(classes, map[string]any{"name": "looks", "when": map[string]any{"lanes": []string{"look"}}})
+	}
+	if len(p.Zones) > 0 {
+		class["pool"] = "some"
+		pools = append(pools, map[string]any{"name": "some", "zones": p.Zones})
+	}
+	if p.Field != "" {
+		class[p.Field] = true
+	}
+	asked := map[string]any{}
+	if p.Both > 0 {
+		asked["silent"], asked["both_for"] = "both", p.Both.String()
+	}
+	if p.Rehearse > 0 {
+		r := map[string]any{"for": p.Rehearse.String()}
+		if p.Guard > 0 {
+			r["refused_above"] = p.Guard
+		}
+		asked["rehearse"] = r
+	}
+	if p.Probation > 0 {
+		r := map[string]any{"for": p.Probation.String()}
+		if p.Bound > 0 {
+			r["held_above"] = p.Bound
+		}
+		asked["probation"] = r
+	}
+	if p.Size > 0 {
+		classes = append(classes, map[string]any{"name": "filled", "when": map[string]any{"lanes": []string{"none"}}, "refuse": strings.Repeat("no ", int(p.Size)/3)})
+	}
+	text, err := json.Marshal(map[string]any{"statements": map[string]any{"pools": pools, "classes": classes}, "policy": asked})
+	if err != nil {
+		panic(err) // of texts and figures there is none that can't be written
+	}
+	return text
+}
+
+func (w Whole) limit(class map[string]any) {
+	class["fleet"] = w.Any()
+	if w.Threads > 0 {
+		class["threads"] = w.Threads
+	}
+	if w.Waiting > 0 {
+		class["waiting"] = w.Waiting
+	}
+	if w.Work > 0 {
+		class["work_per_second"] = w.Work.String()
+	}
+}
+
+// Voters are the names of the gateways that decide at first.
+func (s *Site) Voters() (out []string) {
+	for _, k := range s.Gateways[:min(s.plan.Fleet.Charter.Voters, s.plan.Gateways)] {
+		out = append(out, k.Name)
+	}
+	return out
+}
+
 // Any tells whether there is any limit.
 func (w Whole) Any() bool { return w.Threads > 0 || w.Waiting > 0 || w.Work > 0 }
 
@@ -129,18 +223,14 @@
 	if f.Cold && !f.Whole.Any() {
 		file["budgets"] = map[string]any{"keepers": g.site.Keepers(), "term": f.Term.String(), "cold": true}
 	}
-	if f.Whole.Any() {
+	if c := f.Charter; c.Voters > 0 {
+		file["policy"] = map[string]any{"voters": g.site.Voters(), "folder": g.PolicyFolder(), "lease": c.Lease.String(), "within": c.Within.String()}
+		file["budgets"] = map[string]any{"keepers": g.site.Keepers(), "term": f.Term.String(), "cold": f.Cold}
+		whole["statements"] = map[string]any{}
+	} else if f.Whole.Any() {
 		w := g.whole
-		class := map[string]any{"name": "loads", "when": map[string]any{"lanes": []string{"load"}}, "fleet": w.Any()}
-		if w.Threads > 0 {
-			class["threads"] = w.Threads
-		}
-		if w.Waiting > 0 {
-			class["waiting"] = w.Waiting
-		}
-		if w.Work > 0 {
-			class["work_per_second"] = w.Work.String()
-		}
+		class := map[string]any{"name": "loads", "when": map[string]any{"lanes": []string{"load"}}}
+		w.limit(class)
 		file["budgets"] = map[string]any{"keepers": g.site.Keepers(), "term": f.Term.String(), "number": max(1, w.Number), "cold": f.Cold}
 		whole["statements"] = map[string]any{"classes": []any{class}}
 	}
@@ -159,25 +249,66 @@
 	return filepath.Join(g.site.Folder, "g"+strconv.Itoa(g.n)+".state")
 }
 
-// KeepState copies the folder of the record as it stands; with BringBack that older copy takes its place.
-func (g *Gateway) KeepState() error {
-	os.RemoveAll(g.StateFolder() + ".older")
-	return os.CopyFS(g.StateFolder()+".older", os.DirFS(g.StateFolder()))
+// PolicyFolder is where it keeps policies, and votes by.
+func (g *Gateway) PolicyFolder() string {
+	return filepath.Join(g.site.Folder, "g"+strconv.Itoa(g.n)+".policy")
 }
 
-// BringBack puts the older copy in the place of the folder; with none there, nothing is left of it.
-func (g *Gateway) BringBack() error {
-	if err := os.RemoveAll(g.StateFolder()); err != nil {
-		return err
+// folders are those that survive its process.
+func (g *Gateway) folders() (out []string) {
+	if g.site.plan.State {
+		out = append(out, g.StateFolder())
 	}
-	if _, err := os.Stat(g.StateFolder() + ".older"); err != nil {
-		return nil
+	if f := g.site.plan.Fleet; f != nil && f.Charter.Voters > 0 {
+		out = append(out, g.PolicyFolder())
 	}
-	return os.CopyFS(g.StateFolder(), os.DirFS(g.StateFolder()+".older"))
+	return out
 }
 
-// ForgetState takes the folder away.
-func (g *Gateway) ForgetState() error { return os.RemoveAll(g.StateFolder()) }
+// Kept tells whether there are older copies.
+func (g *Gateway) Kept() bool {
+	for _, f := range g.folders() {
+		if _, err := os.Stat(f + ".older"); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Keep copies the folders as they stand; with BringBack those older copies take their place.
+func (g *Gateway) Keep() error {
+	for _, f := range g.folders() {
+		os.RemoveAll(f + ".older")
+		if err := os.CopyFS(f+".older", os.DirFS(f)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// BringBack puts the older copies in the place of the folders; with none there, nothing is left of them.
+func (g *Gateway) BringBack() error {
+	for _, f := range g.folders() {
+		if err := os.RemoveAll(f); err != nil {
+			return err
+		}
+		if _, err := os.Stat(f + ".older"); err != nil {
+			continue
+		}
+		if err := os.CopyFS(f, os.DirFS(f+".older")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Forget takes the folders away.
+func (g *Gateway) Forget() (err error) {
+	for _, f := range g.folders() {
+		err = errors.Join(err, os.RemoveAll(f))
+	}
+	return err
+}
 
 // Twin starts a second process under a gateway's name, with addresses and files of its own; the first one lives on.
 func (s *Site) Twin(of int) (*Gateway, error) {
