Voters are replaced for real; a thousand changes, lying disks, one register

Seen: scenario policy-voters passed without one new voter: newcomers were told of by nobody, and only proposals were looked at.

Also: what was borrowed of a larger total goes back when the total is lowered, and a loan of another number is not taken: with a charter totals hold a task's length after the change, which the checker now asks (before: a term and a half).

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -265,8 +265,8 @@
 	}
 }
 
-// Renew goes by other totals, under a higher number. A budget that they lack has a total of 0 from now on. What is lent or used beyond
-// the new part ends by itself; nothing more of it is lent or used before.
+// Renew goes by other totals, under a higher number. A budget that they lack has a total of 0 from now on. What is used beyond the new
+// part ends by itself, what was borrowed of a larger total goes back as soon as it can; nothing more of it is lent or used before.
 func (c *Core) Renew(now Time, next *Plan) error {
 	c.pass(now)
 	old := c.plan
@@ -286,8 +286,16 @@
 		}
 		plan.Totals[b] = next.Totals[i]
 	}
+	for i := range c.loans { // of a total that is lowered: by what was borrowed of the old one nothing new goes out
+		if l := &c.loans[i]; plan.Totals[l.budget] < old.Totals[l.budget] {
+			l.last = true
+		}
+	}
 	c.plan, c.highest = &plan, max(c.highest, plan.Number)
 	c.widen()
+	for b := range old.Totals {
+		c.GiveBack(c.now, b, 0)
+	}
 	for i := range c.claims {
 		c.claims[i].next = min(c.claims[i].next, c.now) // under the new number at once
 	}
@@ -763,6 +771,10 @@
 	if c.plan.planted != takesTwice {
 		c.asks = slices.Delete(c.asks, k, k+1)
 	}
+	if m.Number != c.plan.Number { // it is of another total
+		c.send(m.From, Message{Kind: Back, For: m.Start, Budget: m.Budget, ID: m.ID})
+		return
+	}
 	if c.now >= until {
 		return
 	}
--- a/internal/charter/lead.go
+++ b/internal/charter/lead.go
@@ -114,8 +114,9 @@
 func (v *voter) word(c *Core, g *guest) *answer {
 	b := &v.book
 	a := &answer{Leader: c.name, At: b.mark(), Digest: b.Digest, Size: b.Size, State: v.state(c)}
-	for _, k := range b.Voters {
-		a.Voters = append(a.Voters, k.Name)
+	a.Voters = names(b.Voters)
+	if slices.Sort(a.Voters); !slices.Equal(a.Voters, b.Want) {
+		a.Want = b.Want
 	}
 	if p := b.Open; p != nil {
 		a.Open = &open{ID: p.ID, Digest: p.Digest, Size: p.Size, Trial: v.lead.phase == trying, Sources: v.sources(c, g)}
--- a/internal/charter/message.go
+++ b/internal/charter/message.go
@@ -58,6 +58,7 @@
 	Yield   uint64   `cbor:"9,keyasint,omitempty"` // give up what is held, for this proposal
 	Voters  []string `cbor:"10,keyasint,omitempty"`
 	State   string   `cbor:"11,keyasint,omitempty"` // of the change, for people
+	Want    []string `cbor:"14,keyasint,omitempty"` // who is to vote, where that is others
 	Confirm bool     `cbor:"12,keyasint,omitempty"` // a majority bore it out after the ask
 	For     uint64   `cbor:"13,keyasint,omitempty"` // the start of the process that asked: another under its name takes nothing of it
 }
--- a/internal/charter/model.go
+++ b/internal/charter/model.go
@@ -59,6 +59,7 @@
 func (s *seat) Tick()                                  {}
 func (s *seat) Leads() bool                            { return s.term > 0 }
 func (s *seat) Leader() uint64                         { return 0 }
+func (s *seat) Transfer(uint64)                        {}
 func (s *seat) Near(uint64) bool                       { return true }
 func (s *seat) Active(uint64) bool                     { return true }
 func (s *seat) Voters() (voters, learners []uint64)    { return nil, nil }
--- a/internal/charter/own.go
+++ b/internal/charter/own.go
@@ -45,6 +45,7 @@
 	tries  int
 	leader string
 	voters []string
+	wanted []string // who is to vote, where that is others
 	turn   int
 	state  string
 	cannot Digest // a decided policy that it can't follow, as was said
@@ -199,7 +200,7 @@
 		return
 	}
 	if len(a.Voters) > 0 {
-		o.voters = a.Voters
+		o.voters, o.wanted = a.Voters, a.Want
 	}
 	o.leader, o.state = m.from, a.State
 	k := o.asks[a.Seq%mostAsks]
--- a/internal/charter/voters.go
+++ b/internal/charter/voters.go
@@ -31,6 +31,7 @@
 	Tick()
 	Leads() bool
 	Leader() uint64
+	Transfer(to uint64)
 	Near(id uint64) bool
 	Active(id uint64) bool
 	Voters() (voters, learners []uint64)
@@ -152,7 +153,7 @@
 		v.noted = ""
 		return
 	}
-	if !slices.Contains(c.own.voters, c.name) && !slices.Contains(c.plan.Voters, c.name) {
+	if !slices.Contains(c.own.voters, c.name) && !slices.Contains(c.own.wanted, c.name) && !slices.Contains(c.plan.Voters, c.name) {
 		return
 	}
 	for _, to := range v.others(c) {
@@ -172,7 +173,7 @@
 }
 
 func (v *voter) others(c *Core) (out []string) {
-	for _, list := range [][]string{c.own.voters, c.plan.Voters} {
+	for _, list := range [][]string{c.own.voters, c.own.wanted, c.plan.Voters} {
 		for _, n := range list {
 			if n != c.name && !slices.Contains(out, n) {
 				out = append(out, n)
@@ -312,19 +313,29 @@
 			var remove []uint64
 			if old != nil {
 				remove = append(remove, old.Birth)
-			} else if k := v.unwanted(); k != nil {
+			} else if k := v.unwanted(); k != nil && k.Birth != v.birth {
 				remove = append(remove, k.Birth)
 			}
 			v.log.Change(encode([]Voter{{n, s.Birth}}), nil, []uint64{s.Birth}, remove)
 			return
 		}
 	}
-	all := true
+	var next *Voter
 	for _, n := range v.book.Want {
-		all = all && v.book.voter(n) != nil
+		k := v.book.voter(n)
+		if k == nil {
+			return
+		}
+		if k.Birth != v.birth && v.log.Near(k.Birth) {
+			next = k
+		}
 	}
-	if k := v.unwanted(); k != nil && all {
+	switch k := v.unwanted(); {
+	case k == nil:
+	case k.Birth != v.birth:
 		v.log.Change(nil, nil, nil, []uint64{k.Birth})
+	case next != nil: // the others go on without a pause
+		v.log.Transfer(next.Birth)
 	}
 }
 
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -118,7 +118,7 @@
 func (n *Node) start() (err error) {
 	n.rest()
 	n.raft, err = raft.NewRawNode(&raft.Config{ID: n.id, ElectionTick: election, HeartbeatTick: heartbeat, Storage: n.kept, Applied: n.applied, MaxSizePerMsg: mostAppend,
-		MaxInflightMsgs: mostInFlight, MaxUncommittedEntriesSize: 64 * MostEntry, CheckQuorum: true, PreVote: true, ReadOnlyOption: raft.ReadOnlySafe, DisableProposalForwarding: true,
+		MaxInflightMsgs: mostInFlight, MaxUncommittedEntriesSize: 64 * MostEntry, CheckQuorum: true, PreVote: true, ReadOnlyOption: raft.ReadOnlySafe, DisableProposalForwarding: true, StepDownOnRemoval: true,
 		Logger: quietLogger{}})
 	return err
 }
@@ -190,7 +190,7 @@
 		if m.Term >= n.term {
 			n.rest()
 		}
-	case pb.MsgProp, pb.MsgReadIndex, pb.MsgTransferLeader, pb.MsgTimeoutNow:
+	case pb.MsgProp, pb.MsgReadIndex, pb.MsgTransferLeader:
 		return nil // nobody here says that
 	}
 	if err := n.raft.Step(m); err != nil && !errors.Is(err, raft.ErrStepPeerNotFound) && !errors.Is(err, raft.ErrProposalDropped) {
@@ -239,6 +239,14 @@
 	return true
 }
 
+// Transfer has another voter lead, which has all that this one has.
+func (n *Node) Transfer(to uint64) {
+	if n.failed == nil && n.leads {
+		n.raft.TransferLeader(to)
+		n.pump()
+	}
+}
+
 // Leads tells whether this node believes that it leads, Leader whom it follows (0: nobody).
 func (n *Node) Leads() bool    { return n.leads }
 func (n *Node) Leader() uint64 { return n.raft.BasicStatus().Lead }
@@ -255,7 +263,7 @@
 // Near tells whether a voter or learner has nearly all that the leader has.
 func (n *Node) Near(id uint64) bool {
 	p, ok := n.raft.Status().Progress[id]
-	return ok && p.RecentActive && p.Match+trailing >= n.Last()
+	return ok && p.RecentActive && p.Match > 0 && p.Match+trailing >= n.Last()
 }
 
 // Active tells whether a voter or learner was heard in the last second or two, by a leader's word.
@@ -421,6 +429,9 @@
 		}
 		n.conf = *n.raft.ApplyConfChange(cc)
 		n.host.Changed(e.Index, cc.Context, n.conf.Voters, n.conf.Learners)
+		if len(n.conf.Learners) > 0 {
+			n.compact() // a newcomer takes no snapshot that doesn't name it
+		}
 	}
 }
 
@@ -431,8 +442,11 @@
 		return
 	}
 	n.snapped = n.applied
-	records := append([]Record{n.snapshotRecord(&s)}, n.forget(n.applied-trailing+1)...)
-	n.kept.Compact(n.applied - trailing)
+	records := []Record{n.snapshotRecord(&s)}
+	if first, _ := n.kept.FirstIndex(); n.applied >= first+trailing {
+		records = append(records, n.forget(n.applied-trailing+1)...)
+		n.kept.Compact(n.applied - trailing)
+	}
 	n.host.Save(records, func(err error) {
 		if err != nil && n.failed == nil {
 			n.failed = fmt.Errorf("consensus: %w", err)
--- a/internal/crowd/assembly.go
+++ b/internal/crowd/assembly.go
@@ -50,6 +50,7 @@
 	held     [][]byte
 	from     []string
 	busy     Time // until when something decided is still on its way out
+	worse    bool // half of its tasks find no room
 }
 
 type todo struct {
@@ -190,9 +191,17 @@
 	p.standing = *s
 }
 
-func (p *citizen) Drained() bool        { return p.a.now >= p.busy }
-func (p *citizen) Count() charter.Count { return charter.Count{} }
-func (p *citizen) Wall() int64          { return int64(p.a.now / admission.Second) }
+func (p *citizen) Drained() bool { return p.a.now >= p.busy }
+
+func (p *citizen) Count() charter.Count {
+	k := charter.Count{Of: p.standing.Number, Tasks: 100}
+	if p.worse {
+		k.Held = 50
+	}
+	return k
+}
+
+func (p *citizen) Wall() int64 { return int64(p.a.now / admission.Second) }
 
 func (p *citizen) Say(code charter.Code, more ...any) {
 	if p.a.onSay != nil {
--- /dev/null
+++ b/internal/crowd/enact_test.go
@@ -0,0 +1,388 @@
+package crowd
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/charter"
+)
+
+// calm is a fleet that has a leader and leases.
+func calm(t *testing.T, seed uint64, n, voters int) *assembly {
+	t.Helper()
+	a := newAssembly(seed, n, voters, 2*second)
+	a.pass(6 * second)
+	if got := a.holding(charter.Digest{}); got != n {
+		t.Fatalf("%d of %d hold a lease", got, n)
+	}
+	return a
+}
+
+// enact proposes a policy and waits for its end.
+func (a *assembly) enact(by int, text string, wait Time) charter.Result {
+	r := charter.Result{Why: "it has not ended"}
+	a.propose(a.people[by], text, func(end charter.Result) { r = end })
+	for until := a.now + wait; a.now < until && r.End == charter.Pending; {
+		a.pass(10 * admission.Millisecond)
+	}
+	return r
+}
+
+// What becomes of proposals, as an operator is told it.
+func TestEnds(t *testing.T) {
+	a := calm(t, 1, 8, 5)
+	var got []string
+	tell := func(what string, r charter.Result) {
+		got = append(got, fmt.Sprintf("%s: %s %d %s", what, r.End, r.Number, r.Why))
+	}
+	tell("plain", a.enact(6, "one", 5*second))
+	tell("a member can't follow", a.enact(5, "two; not for g7;", 5*second))
+	tell("the leader can't follow", a.enact(5, "two; not for g0; not for g1; not for g2; not for g3; not for g4;", 5*second))
+	tell("the same again", a.enact(4, "one", 5*second))
+	one, two := charter.Result{}, charter.Result{}
+	a.propose(a.people[6], "three; rehearse;", func(r charter.Result) { one = r })
+	a.propose(a.people[7], "four", func(r charter.Result) { two = r })
+	a.pass(3 * second)
+	if one.End == charter.WasRefused {
+		one, two = two, one
+	}
+	two.Why = two.Why[strings.LastIndex(two.Why, " of "):]
+	tell("one of two at once", charter.Result{End: one.End, Number: one.Number})
+	tell("the other", charter.Result{End: two.End, Why: "proposal ... of one " + two.Why[len(two.Why)-7:]})
+	p := charter.Proposal{ID: 99, Kind: charter.Change, Text: []byte("five")}
+	for range 3 { // its answer was lost: it is proposed again, here and elsewhere
+		for _, by := range []int{7, 3} {
+			if err := a.people[by].core.Propose(a.people[by].clock(), p, func(charter.Result) {}); err != nil {
+				t.Error(err)
+			}
+		}
+		a.pass(second)
+	}
+	r, _ := a.people[3].core.Progress(99)
+	tell("one proposed six times", r)
+	p = charter.Proposal{ID: 100, Kind: charter.Rollback, Of: 1}
+	a.people[2].core.Propose(a.people[2].clock(), p, func(charter.Result) {})
+	a.pass(2 * second)
+	r, _ = a.people[2].core.Progress(100)
+	tell("back to 1", r)
+	p = charter.Proposal{ID: 101, Kind: charter.Rollback, Of: 77}
+	a.people[2].core.Propose(a.people[2].clock(), p, func(charter.Result) {})
+	a.pass(2 * second)
+	r, _ = a.people[2].core.Progress(101)
+	tell("back to 77", r)
+	p = charter.Proposal{ID: 102, Kind: charter.Change, Text: []byte("six"), Base: 1}
+	a.people[2].core.Propose(a.people[2].clock(), p, func(charter.Result) {})
+	a.pass(2 * second)
+	r, _ = a.people[2].core.Progress(102)
+	tell("meant to follow 1", r)
+	want := `plain: decided 1 
+a member can't follow: dropped 0 g7: statements.pools[0].zones: expected some of [norte], found [este]
+the leader can't follow: refused 0 LEADER: statements.pools[0].zones: expected some of [norte], found [este]
+the same again: refused 1 number 1 in force is the same
+one of two at once: decided 2 
+the other: refused 0 proposal ... of one is open
+one proposed six times: decided 3 
+back to 1: decided 4 
+back to 77: refused 0 number 77 is not among the last 16
+meant to follow 1: refused 0 it is meant to follow number 1, and 4 is in force`
+	text := strings.Join(got, "\n")
+	for _, v := range a.voters {
+		text = strings.ReplaceAll(text, "refused 0 "+v+":", "refused 0 LEADER:")
+	}
+	if text != want {
+		t.Errorf("found\n%s\nexpected\n%s", text, want)
+	}
+	if a.holding(charter.Of([]byte("one"))) != 8 || a.wrong != "" {
+		t.Errorf("%d of 8 go by it; %s", a.holding(charter.Of([]byte("one"))), a.wrong)
+	}
+}
+
+// A thousand changes in a row while members come and go, one of them a megabyte; one that was away through all of it is there in a second.
+func TestThousand(t *testing.T) {
+	a := calm(t, 3, 10, 3)
+	away := a.people[9]
+	away.kill()
+	decided := 0
+	for k := range 1000 {
+		size := 100
+		if k == 500 {
+			size = charter.MostText
+		}
+		text := fmt.Sprintf("%d %s", k, strings.Repeat("x", size-5))
+		if r := a.enact(k%3, text, 20*second); r.End == charter.WasDecided {
+			decided++
+		} else if r.End != charter.WasRefused {
+			t.Fatalf("change %d: %s %s", k, r.End, r.Why)
+		}
+		if p := a.people[4+k%5]; k%20 == 7 {
+			p.kill()
+		} else if !p.up {
+			p.begin()
+		}
+	}
+	if decided != 1000 || a.wrong != "" {
+		t.Errorf("%d of 1000 were decided; %s", decided, a.wrong)
+	}
+	away.begin()
+	began := a.now
+	for !away.standing.Holds(away.clock()) && a.now-began < 10*second {
+		a.pass(10 * admission.Millisecond)
+	}
+	if took := a.now - began; took > second || away.standing.Number != 1000 {
+		t.Errorf("who was away through it goes by number %d after %.2f s", away.standing.Number, float64(took)/float64(second))
+	}
+	for _, p := range a.people[:3] { // sixteen policies, one of them a megabyte, and the log
+		bytes := 0
+		last := map[[16]byte]int{}
+		for i, r := range p.disk {
+			last[r.Key] = i
+		}
+		for i, r := range p.disk {
+			if last[r.Key] == i {
+				bytes += len(r.Value)
+			}
+		}
+		if bytes > 100<<10 {
+			t.Errorf("%s keeps %d bytes", p.name, bytes)
+		}
+	}
+}
+
+// A voter that lost its folder is another voter: it takes the lost one's place once that was not heard for a while, and not before. Who
+// comes with an older folder finds that out, where the leader knows better.
+func TestVotersFolders(t *testing.T) {
+	a := calm(t, 5, 6, 3)
+	said := map[charter.Code]int{}
+	a.onSay = func(p *citizen, code charter.Code, _ []any) { said[code]++ }
+	if r := a.enact(5, "one", 5*second); r.End != charter.WasDecided {
+		t.Fatal(r)
+	}
+	leader := slices.IndexFunc(a.people, func(p *citizen) bool { return len(p.core.State(p.clock()).Members) > 0 })
+	lost, old := a.people[(leader+1)%3], a.people[(leader+2)%3]
+	lost.kill()
+	lost.disk = nil
+	lost.begin()
+	a.pass(8 * second)
+	if lost.core.State(lost.clock()).Votes {
+		t.Error("a voter without its folder votes before the one that it was is known to be gone")
+	}
+	a.pass(8 * second)
+	if s := lost.core.State(lost.clock()); !s.Votes || said[charter.Voting] == 0 {
+		t.Errorf("a voter that lost its folder has not come back as another: %v", said)
+	}
+	older := slices.Clone(old.disk)
+	for k := range 3 {
+		if r := a.enact(5, fmt.Sprint("more ", k), 5*second); r.End != charter.WasDecided {
+			t.Fatal(r)
+		}
+	}
+	old.kill()
+	old.disk = older
+	old.begin()
+	a.pass(16 * second)
+	if s := old.core.State(old.clock()); !s.Votes || said[charter.Lost] == 0 {
+		t.Errorf("an older folder was not found out, or its voter has not come back as another: %v", said)
+	}
+	a.people[leader].kill()
+	if r := a.enact(5, "the last", 20*second); r.End != charter.WasDecided || a.wrong != "" {
+		t.Errorf("%s %s; %s", r.End, r.Why, a.wrong)
+	}
+}
+
+// A voter's sync lies, all lose power, and the honest one that had it all stays away: the two that are left know less than members
+// have gone by. They give no lease, loudly, until the operator forces a new log.
+func TestLyingDisk(t *testing.T) {
+	a := calm(t, 6, 6, 3)
+	behind := 0
+	a.onSay = func(p *citizen, code charter.Code, _ []any) {
+		if code == charter.Behind {
+			behind++
+		}
+	}
+	if r := a.enact(5, "one", 5*second); r.End != charter.WasDecided {
+		t.Fatal(r)
+	}
+	leader := slices.IndexFunc(a.people, func(p *citizen) bool { return len(p.core.State(p.clock()).Members) > 0 })
+	liar, late := a.people[(leader+1)%3], a.people[(leader+2)%3]
+	liar.lies = true
+	a.cut = func(from, to int) bool { return from == late.place != (to == late.place) }
+	if r := a.enact(5, "two", 10*second); r.End != charter.WasDecided {
+		t.Fatal(r)
+	}
+	a.pass(second) // all but one go by it
+	liar.kill()
+	a.people[leader].kill()
+	liar.lies, a.cut = false, nil
+	a.pass(second) // what was said to it is gone
+	liar.begin()
+	a.pass(15 * second)
+	if n := a.holding(charter.Of([]byte("one"))) + a.holding(charter.Of([]byte("two"))); behind == 0 || n > 0 {
+		t.Errorf("said %d times that voters are behind; %d hold a lease", behind, n)
+	}
+	if err := a.people[4].core.Force(a.people[4].clock(), []string{"g3", "g4", "g5"}); err != nil {
+		t.Fatal(err)
+	}
+	a.pass(30 * second)
+	if n := a.holding(charter.Of([]byte("two"))); n < 5 || a.wrong != "" {
+		t.Errorf("%d go by the policy that was lost after it was forced; %s", n, a.wrong)
+	}
+	if r := a.enact(5, "three", 10*second); r.End != charter.WasDecided {
+		t.Errorf("%s %s", r.End, r.Why)
+	}
+	for _, n := range []int{3, 4, 5} {
+		if p := a.people[n]; !p.core.State(p.clock()).Votes {
+			t.Errorf("%s was named as a voter, and doesn't vote", p.name)
+		}
+	}
+}
+
+// Without a lease what both policies allow goes on, where the policy says so, and ends in time.
+func TestBoth(t *testing.T) {
+	a := calm(t, 7, 6, 3)
+	if r := a.enact(5, "one", 5*second); r.End != charter.WasDecided {
+		t.Fatal(r)
+	}
+	apart := 4
+	a.cut = func(from, to int) bool { return from == apart != (to == apart) }
+	var one, two charter.Result
+	a.pass(second)
+	a.propose(a.people[5], "two; both;", func(r charter.Result) { one = r }) // g4 is silent: the others wait for its lease
+	a.pass(second / 2)
+	cut := a.cut
+	a.cut = func(from, to int) bool { return cut(from, to) || from == 3 != (to == 3) } // and now g3 is, which has heard of both
+	a.pass(3 * second)
+	s := a.people[3].standing
+	if one.End != charter.WasDecided || s.Other != charter.Of([]byte("two; both;")) || s.Holds(a.people[3].clock()) || a.people[3].clock() >= s.BothUntil {
+		t.Errorf("%v; g3 goes by %s and %s", one, s.Digest, s.Other)
+	}
+	at := a.now
+	a.propose(a.people[5], "three", func(r charter.Result) { two = r })
+	for two.End == charter.Pending && a.now-at < 30*second {
+		a.pass(10 * admission.Millisecond)
+	}
+	if two.End != charter.WasDecided || a.now-at < second {
+		t.Errorf("the change after it: %s %s after %.1f s", two.End, two.Why, float64(a.now-at)/float64(second))
+	}
+	if a.wrong != "" {
+		t.Error(a.wrong)
+	}
+}
+
+// A policy on probation that is worse than it says it may be is taken back once, as a change of its own.
+func TestProbation(t *testing.T) {
+	a := calm(t, 8, 6, 3)
+	if r := a.enact(5, "one", 5*second); r.End != charter.WasDecided {
+		t.Fatal(r)
+	}
+	for _, p := range a.people {
+		p.worse = true
+	}
+	if r := a.enact(5, "two; probation;", 5*second); r.End != charter.WasDecided {
+		t.Fatal(r)
+	}
+	a.pass(3 * second)
+	p := a.people[0]
+	if n := a.holding(charter.Of([]byte("one"))); n != 6 || p.standing.Number != 3 {
+		t.Errorf("%d of 6 go by the one before, under number %d", n, p.standing.Number)
+	}
+	for _, p := range a.people {
+		p.worse = false
+	}
+	if r := a.enact(5, "three; probation;", 5*second); r.End != charter.WasDecided {
+		t.Fatal(r)
+	}
+	a.pass(5 * second)
+	if p.standing.Number != 4 {
+		t.Errorf("a good one was taken back: number %d", p.standing.Number)
+	}
+}
+
+// The histories of proposals and of decisions by numbers, under faults, are those of one register.
+func TestLinearizable(t *testing.T) {
+	type input struct {
+		write bool
+		id    uint64
+	}
+	register := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{uint64(0)} },
+		Step: func(state, in, out any) []any {
+			n, at := state.(uint64), out.(uint64)
+			switch {
+			case !in.(input).write && n == at, in.(input).write && at == 0:
+				return []any{n}
+			case in.(input).write && at == math.MaxUint64: // nobody knows
+				return []any{n, n + 1}
+			case in.(input).write && at == n+1:
+				return []any{n + 1}
+			}
+			return nil
+		},
+	}
+	model := register.ToModel()
+	for seed := range uint64(6) {
+		a := newAssembly(seed+100, 7, 3, 2*second)
+		a.pass(6 * second)
+		var ops []porcupine.Operation
+		open := map[uint64]int{}
+		a.loss, a.double, a.late = 0.05, 0.05, 0.01
+		for k := range 24 {
+			p := a.people[a.chance.IntN(7)]
+			if p.up && p.stopped <= a.now {
+				id := a.chance.Uint64() | 1
+				open[id] = len(ops)
+				ops = append(ops, porcupine.Operation{ClientId: 10 + k, Input: input{true, id}, Call: int64(a.now), Output: uint64(math.MaxUint64), Return: math.MaxInt64})
+				p.core.Propose(p.clock(), charter.Proposal{ID: id, Kind: charter.Change, Text: []byte(fmt.Sprint("policy ", seed, k))}, func(r charter.Result) {
+					op := &ops[open[id]]
+					op.Return, op.Output = int64(a.now)+1, uint64(0)
+					if r.End == charter.WasDecided {
+						op.Output = r.Number
+					}
+				})
+			}
+			switch q := a.people[a.chance.IntN(7)]; a.chance.IntN(5) {
+			case 0:
+				if q.up {
+					q.kill()
+				}
+			case 1:
+				q.stopped = a.now + Time(a.chance.Int64N(int64(4*second)))
+			case 2:
+				n := a.chance.IntN(7)
+				a.cut = func(from, to int) bool { return from == n }
+			default:
+				a.cut = nil
+				for _, q := range a.people {
+					if !q.up {
+						q.begin()
+					}
+				}
+			}
+			for range 10 {
+				a.pass(100 * admission.Millisecond)
+				for _, q := range a.people {
+					if q.up && q.stopped <= a.now && q.standing.Holds(q.clock()) && a.chance.IntN(3) == 0 {
+						ops = append(ops, porcupine.Operation{ClientId: q.place, Input: input{}, Call: int64(a.now), Output: q.standing.Number, Return: int64(a.now)})
+					}
+				}
+			}
+		}
+		if !porcupine.CheckOperations(model, ops) {
+			t.Errorf("seed %d: %d operations are not those of one register", seed, len(ops))
+		}
+		writes := 0
+		for _, o := range ops {
+			if n, ok := o.Output.(uint64); o.Input.(input).write && ok && n > 0 && n < math.MaxUint64 {
+				writes++
+			}
+		}
+		if len(ops) < 200 || writes < 3 {
+			t.Errorf("seed %d: only %d operations, %d changes", seed, len(ops), writes)
+		}
+	}
+}
--- a/internal/scenario/builtin/policy-force.jsonnet
+++ b/internal/scenario/builtin/policy-force.jsonnet
@@ -10,5 +10,5 @@
     { at: '14s', do: 'propose', gateways: ['g6'], threads: 7 },
     { at: '25s', do: 'propose', gateways: ['g0'], threads: 8 },
   ],
-  expect: [{ decided: 3 }],
+  expect: [{ decided: 3 }, { voters: ['g2', 'g3', 'g4'] }],
 }
--- a/internal/scenario/builtin/policy-voters.jsonnet
+++ b/internal/scenario/builtin/policy-voters.jsonnet
@@ -12,5 +12,5 @@
     { at: '32s', until: '34s', do: 'kill', gateways: ['g[35]'] },
     { at: '36s', do: 'propose', gateways: ['g1'], threads: 5 },
   ],
-  expect: [{ decided: 5 }],
+  expect: [{ decided: 5 }, { voters: ['g3', 'g4', 'g5'] }],
 }
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -81,6 +81,7 @@
 	Began      time.Time       `json:"-"` // of the load
 	Proposals  []Proposed      `json:"proposals,omitempty"`
 	Policies   *PolicyFigures  `json:"policies,omitempty"`
+	Voters     []string        `json:"voters,omitempty"` // of policies, at the end
 }
 
 // Good tells whether all held.
@@ -178,6 +179,13 @@
 			r.Violations = append(r.Violations, fmt.Sprintf("eventual: %v after the last fault the members did not know each other: %s", s.Settle, p.apart()))
 		}
 	}
+	if s.Charter.Voters > 0 {
+		for _, g := range up.Gateways { // those that vote say so themselves
+			if a, err := fleet.AskPolicy(ctx, g.Control, &fleet.PolicyAsk{Do: "status"}); err == nil && a.Status != nil && a.Status.Votes {
+				r.Voters = append(r.Voters, g.Name)
+			}
+		}
+	}
 	r.Counts, r.Played = p.net.Counts(), time.Since(begun)
 	var files []string
 	for _, g := range up.Gateways {
@@ -203,7 +211,11 @@
 			r.Violations = append(r.Violations, fmt.Sprintf("rule 4: %s, which started at %v, was sent %.2f times what tips it over", c.Engine, c.At, c.Most))
 		}
 	}
-	limits := readTotals(r.Events, up.Keepers(), s.Term+s.Term/2)
+	lowered := s.Term + s.Term/2
+	if s.Charter.Voters > 0 { // all go by the new total at once: what runs by the old one ends with its task
+		lowered = s.Longest + s.Longest/4
+	}
+	limits := readTotals(r.Events, up.Keepers(), lowered)
 	r.Violations = append(r.Violations, CheckCounts(r.Events)...)
 	r.Violations = append(append(r.Violations, Check(r.Events)...), CheckBudgets(r.Events, limits)...)
 	r.Violations = append(r.Violations, CheckEngines(s, r.Runs, r.Began, r.Zero, limits)...)
@@ -233,6 +245,9 @@
 			decided += btoi(k.End == "decided")
 			found = found || (x.Ends == "" || k.End == x.Ends) && strings.Contains(k.Why, x.Why)
 		}
+		if len(x.Voters) > 0 && !slices.Equal(x.Voters, r.Voters) {
+			out = append(out, fmt.Sprintf("expected: voters %v at the end, found %v", x.Voters, r.Voters))
+		}
 		if decided < x.Decided {
 			out = append(out, fmt.Sprintf("expected: %d proposals that take hold, found %d: %v", x.Decided, decided, r.Proposals))
 		}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -69,6 +69,7 @@
 	Decided   int           // least number of proposals that take hold
 	Ends      string        // how one of them ends, as in "dropped", and why: words that stand in it
 	Why       string
+	Voters    []string // at the end
 }
 
 // Step is a fault, or the end of one.
@@ -194,6 +195,7 @@
 	for _, k := range o.Objects("expect") {
 		x := Expectation{Served: k.Share("served", 0), Displaced: k.Count("displaced", 0, 0, 64), Engine: k.Text("engine", ""), Within: k.Duration("within", 0)}
 		x.Decided, x.Ends, x.Why = k.Count("decided", 0, 0, 1000), k.Text("ends", ""), k.Text("why", "")
+		x.Voters = k.Texts("voters")
 		if (x.Engine == "") != (x.Within == 0) {
 			k.Fail("engine", "an engine that turns bad, and within which time it is left alone")
 		}
@@ -412,6 +414,9 @@
 			if x.Why != "" {
 				field("why", x.Why)
 			}
+			if len(x.Voters) > 0 {
+				field("voters", x.Voters)
+			}
 			b.WriteString(" },\n")
 		}
 		b.WriteString(" ],")
