--- a/cmd/magpielab/fleet.go
+++ b/cmd/magpielab/fleet.go
@@ -18,6 +18,7 @@
 
 	"magpiebank/internal/admission"
 	"magpiebank/internal/budget"
+	"magpiebank/internal/charter"
 	"magpiebank/internal/crowd"
 	"magpiebank/internal/explore"
 	"magpiebank/internal/scenario"
@@ -205,13 +206,15 @@
 
 func fleetExplore() *cobra.Command {
 	var states int
-	c := &cobra.Command{Use: "explore", Short: "Walk every interleaving of small fleets that share a budget, up to a number of states", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "explore", Short: "Walk every interleaving of small fleets that share a budget, or change their policy, up to a number of states", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			good, out := true, c.OutOrStdout()
-			budget.Explore(states, func(what string, r explore.Result) {
+			each := func(what string, r explore.Result) {
 				r.Text(out, what)
 				good = good && r.Violated == ""
-			})
+			}
+			budget.Explore(states, each)
+			charter.Explore(states, each)
 			if !good {
 				return errMissed
 			}
@@ -224,7 +227,7 @@
 func fleetScale() *cobra.Command {
 	var most int
 	var picture string
-	c := &cobra.Command{Use: "scale", Short: "Membership of 8 to 500 members in one process, in virtual time: detection, false deaths, bytes", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "scale", Short: "Fleets of 8 to 500 members in one process, in virtual time: detection, sharing, budgets, counts, changes of policy", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			var bySize, byLoss []crowd.Figures
 			sizes := []int{8, 32, 100, 200, 500}
@@ -266,6 +269,14 @@
 			counted = append(counted, crowd.Census(min(most, 32), 0.2, 1))
 			fmt.Fprintln(c.OutOrStdout())
 			crowd.CensusText(c.OutOrStdout(), counted)
+			var enacted []crowd.Enacted
+			for _, n := range sizes {
+				if n <= most {
+					enacted = append(enacted, crowd.Enact(n, 1))
+				}
+			}
+			fmt.Fprintln(c.OutOrStdout())
+			crowd.EnactText(c.OutOrStdout(), enacted)
 			if picture == "" {
 				return nil
 			}
--- a/internal/scenario/play.go
+++ b/internal/scenario/play.go
@@ -44,6 +44,12 @@
 			return nil, err
 		}
 		return &Played{[]*Result{shared, byNumber}, func(out io.Writer) { ColdText(out, shared, byNumber) }, map[string]any{"shared": shared, "by_number": byNumber}}, nil
+	case len(s.Phases) > 0 && s.Charter.Voters > 0:
+		list, err := PolicyWays(ctx, s, folder, program)
+		if err != nil {
+			return nil, err
+		}
+		return &Played{[]*Result{list[0].Result}, func(out io.Writer) { PolicyText(out, list) }, list}, nil
 	case len(s.Phases) > 0:
 		list, err := Ways(ctx, s, folder, program, few)
 		if err != nil {
--- a/internal/scenario/policy.go
+++ b/internal/scenario/policy.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
 
+	"magpiebank/internal/charter"
 	"magpiebank/internal/fleet"
 	"magpiebank/internal/history"
+	"magpiebank/internal/load/single"
 	"magpiebank/internal/site"
 )
 
@@ -24,6 +27,7 @@
 	Number uint64        `json:"number"`
 	Why    string        `json:"why,omitempty"`
 	id     uint64
+	digest string
 }
 
 func (p Proposed) String() string {
@@ -111,7 +115,7 @@
 		defer p.offers.Done()
 		began := time.Now()
 		a, err := p.asks(context.Background(), first, q, began.Add(p.s.endsWithin()))
-		k := Proposed{At: began.Sub(p.began), By: first.Label(), Took: time.Since(began), End: "unknown", id: id}
+		k := Proposed{At: began.Sub(p.began), By: first.Label(), Took: time.Since(began), End: "unknown", id: id, digest: charter.Of(q.Text).String()}
 		if err == nil && a.Result != nil {
 			k.End, k.Number, k.Why = a.Result.End, a.Result.Number, a.Result.Why
 		} else if err != nil {
@@ -294,6 +298,18 @@
 		}
 		ends[k.id] = k
 	}
+	decided := map[string]bool{}
+	for _, k := range r.Proposals {
+		decided[k.digest] = decided[k.digest] || k.End != "dropped" && k.End != "refused" && k.End != "rehearsed"
+	}
+	for _, k := range r.Proposals {
+		for i := range r.Events {
+			if e := &r.Events[i]; !decided[k.digest] && e.What == history.Stands && e.Good && e.Code == k.digest {
+				wrong = append(wrong, fmt.Sprintf("policy: %s went by what was %s", e.Process, k))
+				break
+			}
+		}
+	}
 	slices.Sort(took)
 	if n := len(took); n > 0 {
 		f.Took50, f.Took99 = took[n/2], took[n*99/100]
@@ -319,3 +335,152 @@
 	fmt.Fprintf(out, "%d decisions, %d by an older number after a newer; %d of %d loads turned away for want of a lease; %.3f ms from look to write at the median, %.3f at p99, %.3f at most\n",
 		f.Decisions, f.Older, f.Unsure, f.Loads, f.Gap50.Seconds()*1000, f.Gap99.Seconds()*1000, f.GapMost.Seconds()*1000)
 }
+
+// PolicyWay is one way in which policies change, and what came of a run with it.
+type PolicyWay struct {
+	Name   string        `json:"name"`
+	Result *Result       `json:"result"`
+	Phases []PolicyPhase `json:"phases"`
+	Older  int           `json:"older"` // uses of what is the fleet's, by an older number after a newer
+	Uses   int           `json:"uses"`
+}
+
+// PolicyPhase is what changes came to in one phase.
+type PolicyPhase struct {
+	Phase
+	Proposals int           `json:"proposals"`
+	Ends      []string      `json:"ends"`
+	Took50    time.Duration `json:"took50"` // of those that took hold
+	Took99    time.Duration `json:"took99"`
+	Loads     int           `json:"loads"`
+	Unsure    int           `json:"unsure"` // loads turned away for want of a lease
+	Served    float64       `json:"served"` // share of the worth asked for
+	Older     int           `json:"older"`
+	P50       time.Duration `json:"p50"` // of look-ups that came in it and were delivered
+	P99       time.Duration `json:"p99"`
+}
+
+// PolicyWays plays a scenario with a charter, and the same changes from files that gateways read at SIGHUP one after the other.
+func PolicyWays(ctx context.Context, s *Scenario, folder, program string) (list []*PolicyWay, err error) {
+	files := *s
+	files.Charter, files.Steps = site.Charter{}, nil
+	number := 1
+	const between = 100 * time.Millisecond // as a script would go through them
+	for _, t := range s.Steps {
+		if t.Do != "propose" {
+			files.Steps = append(files.Steps, t)
+			continue
+		}
+		number++
+		for k := range s.Gateways {
+			files.Steps = append(files.Steps, Step{At: t.At + time.Duration(k)*between, Do: "limit", Gateways: []string{fmt.Sprint("g", k)}, Whole: t.Policy.Whole, Number: number, Folder: "same"})
+		}
+	}
+	for i, w := range []*PolicyWay{{Name: "charter"}, {Name: "files at SIGHUP"}} {
+		one := []*Scenario{s, &files}[i]
+		if w.Result, err = Run(ctx, one, filepath.Join(folder, fmt.Sprint("way", i)), program); err != nil {
+			return nil, fmt.Errorf("%s: %w", w.Name, err)
+		}
+		older := w.Result.olderUses()
+		w.Uses = older.uses
+		w.Older = len(older.at)
+		for _, p := range s.Phases {
+			w.Phases = append(w.Phases, w.Result.policyPhase(p, older.at))
+		}
+		list = append(list, w)
+	}
+	return list, nil
+}
+
+// olderUses are uses of a budget by a process that goes by an older number than anyone has used one by before.
+func (r *Result) olderUses() (out struct {
+	uses int
+	at   []time.Duration
+}) {
+	type process struct {
+		name  string
+		start uint64
+	}
+	goes := map[process]uint64{}
+	highest := uint64(0)
+	for i := range r.Events {
+		e := &r.Events[i]
+		k := process{e.Process, e.Start}
+		switch e.What {
+		case history.Total:
+			goes[k] = max(goes[k], e.Of)
+		case history.Took:
+			out.uses++
+			if highest = max(highest, goes[k]); goes[k] < highest {
+				out.at = append(out.at, time.Duration(e.At-r.Zero))
+			}
+		}
+	}
+	return out
+}
+
+func (r *Result) policyPhase(p Phase, older []time.Duration) PolicyPhase {
+	f := PolicyPhase{Phase: p}
+	in := func(at time.Duration) bool { return at >= p.At && at < p.Until }
+	ends := map[string]int{}
+	var took []time.Duration
+	for _, k := range r.Proposals {
+		if !in(k.At) {
+			continue
+		}
+		f.Proposals++
+		if ends[k.End]++; k.End == "decided" {
+			took = append(took, k.Took)
+		}
+	}
+	for _, e := range sortedKeys(ends) {
+		f.Ends = append(f.Ends, fmt.Sprintf("%d %s", ends[e], e))
+	}
+	slices.Sort(took)
+	if n := len(took); n > 0 {
+		f.Took50, f.Took99 = took[n/2], took[n*99/100]
+	}
+	asked, earned := 0.0, 0.0
+	took = took[:0]
+	for i := range r.Tasks {
+		if t := &r.Tasks[i]; in(t.At) && t.End != single.NotTaken {
+			f.Loads += btoi(t.Load)
+			asked, earned = asked+t.worth(), earned+t.Worth()
+			if t.End == single.Delivered && !t.Load {
+				took = append(took, t.Took)
+			}
+		}
+	}
+	slices.Sort(took)
+	if n := len(took); n > 0 {
+		f.P50, f.P99 = took[n/2], took[n*99/100]
+	}
+	if asked > 0 {
+		f.Served = earned / asked
+	}
+	for i := range r.Events {
+		if e := &r.Events[i]; e.What == history.Decided && e.Code == "unsure" && in(time.Duration(e.At-r.Zero)) {
+			f.Unsure++
+		}
+	}
+	for _, at := range older {
+		f.Older += btoi(in(at))
+	}
+	return f
+}
+
+// PolicyText writes the ways side by side.
+func PolicyText(out io.Writer, list []*PolicyWay) {
+	s := list[0].Result.Scenario
+	fmt.Fprintf(out, "%s: %d gateways, %d voters, lease %v, %d engines; real processes and sockets on loopback, one way after the other\n", s.Name, s.Gateways, s.Charter.Voters, s.Charter.Lease,
+		s.Engines)
+	for _, w := range list {
+		fmt.Fprintf(out, "\n%s\n%-16s %9s %9s %9s %9s %9s %9s %9s %7s  %s\n", w.Name, "phase", "in force", "p99", "no lease", "served", "older", "look p50", "p99", "changes", "")
+		for _, p := range w.Phases {
+			fmt.Fprintf(out, "%-16s %6.0f ms %6.0f ms %9.4f %9.3f %9d %6.1f ms %6.1f ms %7d  %s\n", p.Name, p.Took50.Seconds()*1000, p.Took99.Seconds()*1000, float64(p.Unsure)/float64(max(1, p.Loads)), p.Served,
+				p.Older, p.P50.Seconds()*1000, p.P99.Seconds()*1000, p.Proposals, strings.Join(p.Ends, ", "))
+		}
+		fmt.Fprintf(out, "%d of %d uses of what is the fleet's were by an older number after a newer\n", w.Older, w.Uses)
+		w.Result.Text(out)
+	}
+}
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -389,6 +389,9 @@
 				w.Number++
 			}
 		}
+		if t.Number > 0 {
+			w.Number = t.Number
+		}
 		p.site.Change(w, some)
 	case "twin":
 		return p.each(t.Gateways, func(g *site.Gateway) error {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -498,6 +498,24 @@
 		}
 		s.Steps = append(s.Steps, t)
 	}
+	if r.IntN(3) == 0 { // with a charter, and changes while all of that happens
+		s.Charter = site.Charter{Voters: 5, Lease: 2 * time.Second, Within: 2 * time.Second}
+		for i := range s.Steps {
+			if t := &s.Steps[i]; t.Do == "limit" {
+				t.Do, t.Kind, t.Policy = "propose", "change", site.Policy{Whole: t.Whole}
+				t.Whole = site.Whole{}
+			}
+			s.Steps[i].Folder = "same" // a majority of voters that lose theirs is not what this is about
+		}
+		for range 2 + r.IntN(3) {
+			t := Step{At: time.Duration(500+r.IntN(9000)) * time.Millisecond, Do: "propose", Kind: "change", Gateways: some(1), Folder: "same"}
+			t.Policy.Threads = 1 + r.IntN(2*gateways)
+			if r.IntN(3) == 0 {
+				t.Policy.Both = 3 * time.Second
+			}
+			s.Steps = append(s.Steps, t)
+		}
+	}
 	slices.SortStableFunc(s.Steps, func(a, b Step) int { return int(a.At - b.At) })
 	return s
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -82,6 +82,8 @@
 		{"ignores-start", "most-killed", "start"},
 		{"trusts-old", "third-alone", "count:"},
 		{"counts-nothing-out", "budget-split", "budget:"},
+		{"switches-on-word", "policy-cut", "policy:"},
+		{"believes-folder", "policy-down", "policy:"},
 	} {
 		t.Run(c.defect, func(t *testing.T) {
 			t.Parallel()
@@ -138,7 +140,7 @@
 	// faults.jsonnet:1: steps[0].until: expected a time after at, found "1s"
 	// faults.jsonnet:2: steps[1].do: expected engines and be where engines are told to be something, be where the list is, found "engine"
 	// faults.jsonnet:2: steps[2].do: expected from, to, and what such a link does, as in cut: true, found nothing
-	// faults.jsonnet:2: steps[3].do: expected "stop" (the nearest of link, kill, stop, leave, start, twin, engine, list, limit, surge), found "stopp"
+	// faults.jsonnet:2: steps[3].do: expected "stop" (the nearest of link, kill, stop, leave, start, twin, engine, list, limit, surge, propose, voters, force, keep, revive), found "stopp"
 	// faults.jsonnet:1: steps[0].at: expected a time with its unit, as in "250ms" or "1m30s", found 2
 	// faults.jsonnet:1: steps[0].do: expected from, to, and what such a link does, as in cut: true, found nothing
 	// faults.jsonnet:1: gateway: expected "gateways" (the nearest known name), found "gateway"
@@ -217,6 +219,47 @@
 	}
 }
 
+// What the checker of policies reads off histories made up for it.
+func TestCheckPolicies(t *testing.T) {
+	event := func(at float64, process string, e history.Event) history.Event {
+		e.At, e.Process, e.Start = int64(at*1e9)+1, process, 1
+		if e.AsOf == 0 {
+			e.AsOf = e.At - 1e6
+		}
+		return e
+	}
+	stands := func(at float64, process string, number int, digest string) history.Event {
+		return event(at, process, history.Event{What: history.Stands, Number: number, Good: true, Code: digest})
+	}
+	decided := func(at float64, process string, number int) history.Event {
+		return event(at, process, history.Event{What: history.Decided, Code: "sent", Number: number, Task: fmt.Sprint(at)})
+	}
+	base := []history.Event{stands(0, "g0", 1, "aa"), stands(0, "g1", 1, "aa"), decided(1, "g0", 1), decided(1.1, "g1", 1)}
+	both := decided(3, "g1", 1)
+	both.Out = true
+	late := decided(3, "g1", 1) // looked at before, written after
+	late.AsOf = int64(1.9e9)
+	for _, c := range []struct {
+		what string
+		more []history.Event
+		want string
+	}{
+		{"one after the other", []history.Event{stands(2, "g0", 2, "bb"), decided(2.1, "g0", 2), stands(2.2, "g1", 2, "bb"), decided(2.3, "g1", 2)}, ""},
+		{"an older one later", []history.Event{stands(2, "g0", 2, "bb"), decided(2.1, "g0", 2), decided(2.3, "g1", 1)}, "by number 1, 199.0 ms after g0 decided by 2"},
+		{"looked at in time", []history.Event{stands(2, "g0", 2, "bb"), decided(2.1, "g0", 2), late}, ""},
+		{"what two allow", []history.Event{stands(2, "g0", 2, "bb"), decided(2.1, "g0", 2), both}, ""},
+		{"what two allow, too late", []history.Event{stands(2, "g0", 2, "bb"), decided(2.1, "g0", 2), stands(2.5, "g0", 3, "cc"), decided(2.6, "g0", 3), both}, "after g0 decided by 3"},
+		{"two policies of one number", []history.Event{stands(2, "g0", 2, "bb"), stands(2.1, "g1", 2, "cc")}, "number 2 is cc here, and bb elsewhere"},
+		{"without a word", []history.Event{decided(2.1, "g0", 2)}, "without a word that it goes by it"},
+		{"by none", []history.Event{stands(2, "g0", 2, "bb"), decided(2.1, "g0", 2), event(3, "g1", history.Event{What: history.Decided, Code: "taken", Number: -1})}, ""},
+	} {
+		_, out := CheckPolicies(append(append([]history.Event{}, base...), c.more...))
+		if got := strings.Join(out, "; "); (got == "") != (c.want == "") || !strings.Contains(got, c.want) {
+			t.Errorf("%s: found %q, expected %q", c.what, got, c.want)
+		}
+	}
+}
+
 // What engines say runs there is held against the total, where they could hear of all that was given up.
 func TestCheckEngines(t *testing.T) {
 	began := time.Now()
