The desk under what the fleet decides, the file's policy and the diff have their tests

Need: what a task meets as policies come, lapse and change stood in no trace. Seen by them: `for` is a word of Jsonnet, so a rehearsal's and a probation's time are their `length`.

--- /dev/null
+++ b/internal/operator/law_test.go
@@ -0,0 +1,232 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/charter"
+	"magpiebank/internal/deployment"
+	"magpiebank/internal/fleet"
+	"magpiebank/internal/mysql"
+	"magpiebank/internal/route"
+)
+
+// court stands for the fleet: what it has decided is set by hand.
+type court struct{ ruling *fleet.Ruling }
+
+func (c *court) Ruling() *fleet.Ruling                           { return c.ruling }
+func (c *court) Pass(by uint64, _ admission.TaskID) bool         { return by == c.ruling.By(0) }
+func (c *court) Passed(uint64, admission.TaskID)                 {}
+func (c *court) Decided(string, uint64, admission.TaskID, int64) {}
+func (c *court) AsOf() int64                                     { return 0 }
+func (c *court) hold(number uint64, p fleet.Policy)              { c.ruling = held(number, p) }
+
+func held(number uint64, p fleet.Policy) *fleet.Ruling {
+	r := &fleet.Ruling{Standing: charter.Standing{Number: number, Until: 1 << 50, Heard: true}, Policy: p}
+	if p != nil {
+		r.Known = []fleet.Policy{p}
+	}
+	return r
+}
+
+func judged(t testing.TB) (*Desk, *court, func(classes string) fleet.Policy) {
+	start := &deployment.Start{Site: &admission.Deployment{Lanes: make([]admission.Lane, 2), Cores: []float64{8}}, Network: &deployment.Network{Lanes: []string{"look", "load"}, Zones: []string{"norte", "sur"}, Kinds: []string{"std"}}}
+	d, err := NewDesk(&Statements{Memory: 1 << 20, LogEvery: time.Hour}, start, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &court{held(0, nil)}
+	texts := map[string]*Policy{}
+	d.Obey(c, func(text []byte) (*Policy, error) { return texts[string(text)], nil }, 4)
+	d.Listed(0, admission.Whole, []admission.Listing{{Engine: "n", Zone: 0}, {Engine: "s", Zone: 1}})
+	return d, c, func(classes string) fleet.Policy {
+		p := &Policy{}
+		for _, k := range strings.Fields(classes) { // name:lane:threads, or name:lane:refuse
+			f := strings.Split(k, ":")
+			class := route.Class{Name: f[0], When: route.Fits{Lanes: []string{f[1]}}}
+			if f[2] == "refuse" {
+				class.Refuse = "no " + f[0]
+			} else {
+				fmt.Sscan(f[2], &class.Threads)
+			}
+			p.Plan.Classes = append(p.Plan.Classes, class)
+		}
+		texts[classes] = p
+		read, err := d.Read([]byte(classes))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return read
+	}
+}
+
+// What becomes of a look-up and a load, as policies change.
+func TestByWhat(t *testing.T) {
+	d, c, policy := judged(t)
+	reader := d.Reader().(*Reader)
+	var out strings.Builder
+	try := func(what string) {
+		fmt.Fprintf(&out, "%s:", what)
+		for lane, name := range []string{"look", "load"} {
+			reader.Read([]byte("SELECT nota FROM actas.mesas WHERE clave = 'a'"), lane, mysql.Tables([]byte("SELECT nota FROM actas.mesas")))
+			f, crowded, refuse := d.Arrived(10, reader)
+			fmt.Fprintf(&out, "  %s ", name)
+			switch {
+			case refuse != "":
+				fmt.Fprint(&out, refuse)
+			case crowded:
+				fmt.Fprint(&out, "nacked")
+			case f.Class == 0:
+				fmt.Fprint(&out, "free")
+			default:
+				if fmt.Fprint(&out, d.Name(f.Class)); !d.Open(10, f.Class, 2) {
+					fmt.Fprint(&out, ", waits")
+				} else {
+					charged, by := d.Sent(f, 2)
+					fmt.Fprintf(&out, ", goes by %d", by&^(1<<63))
+					if c.Pass(by, "") {
+						fmt.Fprint(&out, ", is written")
+					}
+					if fleet.Both(by) {
+						fmt.Fprint(&out, " by both")
+					}
+					d.Back(f, 2, charged, 0, false)
+					f.Class = 0
+				}
+				d.Left(f)
+			}
+		}
+		out.WriteByte('\n')
+	}
+	one, two, three := policy("loads:load:4"), policy("loads:load:2 looks:look:3"), policy("loads:load:refuse")
+	c.ruling.Heard, c.ruling.Until = false, 0
+	try("nothing was heard")
+	c.hold(0, nil)
+	try("no policy")
+	c.hold(1, one)
+	try("the first")
+	c.ruling.Known = append(c.ruling.Known, two)
+	try("the second is proposed")
+	c.ruling.Until = 0
+	try("the lease is over")
+	c.ruling.Other, c.ruling.BothUntil = two, 1<<50
+	try("what both allow")
+	c.ruling.Other = three
+	try("what the first and the third allow")
+	c.hold(2, two)
+	try("the second")
+	c.hold(3, three)
+	try("the third")
+	want := `nothing was heard:  look nacked  load nacked
+no policy:  look free  load free
+the first:  look free  load loads, goes by 2, is written
+the second is proposed:  look (rest), goes by 2, is written  load loads, goes by 2, is written
+the lease is over:  look nacked  load nacked
+what both allow:  look nacked  load loads, goes by 2, is written by both
+what the first and the third allow:  look (rest), goes by 2, is written by both  load class loads: no loads
+the second:  look looks, goes by 3, is written  load loads, goes by 3, is written
+the third:  look free  load class loads: no loads
+`
+	if out.String() != want {
+		t.Errorf("found\n%s\nexpected\n%s", out.String(), want)
+	}
+}
+
+// A task that was taken under one policy ends by it; what runs counts under the next one's limits.
+func TestAcross(t *testing.T) {
+	d, c, policy := judged(t)
+	one, two := policy("loads:load:4 old:look:1"), policy("loads:load:2")
+	c.hold(1, one)
+	arrive := func(lane int) admission.Foreseen {
+		reader := d.Reader().(*Reader)
+		reader.Read([]byte("SELECT 1"), lane, 0)
+		f, crowded, refuse := d.Arrived(20, reader)
+		if crowded || refuse != "" {
+			t.Fatalf("crowded %t, refused %q", crowded, refuse)
+		}
+		return f
+	}
+	a, b, old := arrive(1), arrive(1), arrive(0)
+	if !d.Open(20, a.Class, 2) {
+		t.Fatal("two of four threads are not free")
+	}
+	charged, _ := d.Sent(a, 2)
+	c.hold(2, two)
+	if d.Open(30, b.Class, 2) {
+		t.Error("two threads more go out, where two of two run")
+	}
+	if name := d.Name(old.Class); name != "old" || !d.Open(30, old.Class, 1) {
+		t.Errorf("a task of a class that is gone can't end: %s", name)
+	}
+	d.Back(a, 2, charged, 0, false)
+	if !d.Open(40, b.Class, 2) {
+		t.Error("what ended is not free")
+	}
+}
+
+// A rehearsal counts what would be otherwise, and decides nothing.
+func TestTrial(t *testing.T) {
+	d, c, policy := judged(t)
+	c.hold(1, policy("loads:load:4"))
+	c.ruling.Trial, c.ruling.Standing.Trial = policy("loads:load:2 looks:look:refuse"), 7
+	reader := d.Reader().(*Reader)
+	var out []admission.Foreseen
+	for n := range 4 {
+		reader.Read([]byte("SELECT 1"), n%2, 0)
+		f, crowded, refuse := d.Arrived(20, reader)
+		if crowded || refuse != "" {
+			t.Fatal("the rehearsal decides")
+		}
+		if f.Class > 0 && !d.Open(20, f.Class, 2) {
+			t.Fatal("the rehearsal holds")
+		}
+		d.Sent(f, 2)
+		out = append(out, f)
+	}
+	d.Due(30)
+	if got := d.Counted(); got != (charter.Count{Of: 7, Tasks: 4, Classed: 4, Refused: 2, Held: 1}) {
+		t.Errorf("%+v", got)
+	}
+	c.ruling = held(1, c.ruling.Policy)
+	for _, f := range out { // of a rehearsal that is over
+		d.Back(f, 2, 0, 0, false)
+	}
+	d.Due(40)
+	if got := d.Counted(); got.Of != 1 || got.Tasks != 4 || got.Refused+got.Held > 0 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// BenchmarkArrived is what a task costs here, by the file and by what the fleet decides.
+func BenchmarkArrived(b *testing.B) {
+	for _, by := range []string{"file", "fleet"} {
+		b.Run(by, func(b *testing.B) {
+			d, c, policy := judged(b)
+			c.hold(1, policy("loads:load:4"))
+			if by == "file" {
+				d.law = nil
+				plan := &c.ruling.Policy.(*Policy).Plan
+				d.plan.Store(plan)
+				if err := d.route.Renew(0, plan); err != nil {
+					b.Fatal(err)
+				}
+			}
+			reader := d.Reader().(*Reader)
+			reader.Read([]byte("SELECT 1"), 1, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				f, _, _ := d.Arrived(20, reader)
+				d.Open(20, f.Class, 2)
+				charged, number := d.Sent(f, 2)
+				d.Pass(number, "")
+				d.Passed(number, "")
+				d.Back(f, 2, charged, 0, false)
+			}
+		})
+	}
+}
--- a/internal/operator/source/policy.go
+++ b/internal/operator/source/policy.go
@@ -90,10 +90,10 @@
 		return charter.Bounds{Refused: o.Share("refused_above", 1), Held: o.Share("held_above", 1)}
 	}
 	if o := k.Object("rehearse"); o != nil {
-		t.Rehearse, t.Guard = length(o, "for", 5*time.Second, 5*time.Minute), bounds(o)
+		t.Rehearse, t.Guard = length(o, "length", 5*time.Second, 5*time.Minute), bounds(o)
 	}
 	if o := k.Object("probation"); o != nil {
-		t.Probation, t.Bounds = length(o, "for", 30*time.Second, time.Hour), bounds(o)
+		t.Probation, t.Bounds = length(o, "length", 30*time.Second, time.Hour), bounds(o)
 	}
 	return t
 }
--- a/internal/operator/source/source.go
+++ b/internal/operator/source/source.go
@@ -84,6 +84,7 @@
 	}
 	if p := o.Object("policy"); p != nil && (f.Fleet == nil || f.Fleet.Policy == nil) {
 		o.Refuse(errors.New("policy: expected fleet.policy in the file, by which it takes hold, found nothing"))
+		terms(p)
 	} else if p != nil {
 		terms(p)
 	}
--- a/internal/route/desk_test.go
+++ b/internal/route/desk_test.go
@@ -382,3 +382,22 @@
 		})
 	})
 }
+
+// What two plans both allow.
+func ExampleMeet() {
+	a := &Plan{Pools: []Pool{{Name: "n", Zones: []string{"norte", "sur"}}, {Name: "o", Zones: []string{"norte"}}},
+		Classes: []Class{{Name: "loads", Threads: 8, Pool: "n"}, {Name: "reports", Waiting: 9}, {Name: "gone", Threads: 1}, {Name: "apart", Pool: "o"}}}
+	b := &Plan{Pools: []Pool{{Name: "s", Zones: []string{"sur", "este"}}}, Classes: []Class{{Name: "reports", Threads: 3, Waiting: 5, Refuse: "not now"}, {Name: "loads", Threads: 5, Pool: "s"},
+		{Name: "apart", Pool: "s"}}}
+	out := Meet(a, b)
+	for _, c := range out.Classes {
+		fmt.Printf("%s: %g threads, %d waiting, pool %q, refuse %q\n", c.Name, c.Threads, c.Waiting, c.Pool, c.Refuse)
+	}
+	fmt.Println(out.Pools, out.Check([]string{"norte", "sur"}, nil))
+	// Output:
+	// loads: 5 threads, 0 waiting, pool "both of loads", refuse ""
+	// reports: 3 threads, 5 waiting, pool "", refuse "not now"
+	// gone: 1 threads, 0 waiting, pool "", refuse "its class is changing"
+	// apart: 0 threads, 0 waiting, pool "", refuse "its engines are changing"
+	// [{both of loads [sur] []}] <nil>
+}
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -81,14 +81,14 @@
 		asked["silent"], asked["both_for"] = "both", p.Both.String()
 	}
 	if p.Rehearse > 0 {
-		r := map[string]any{"for": p.Rehearse.String()}
+		r := map[string]any{"length": p.Rehearse.String()}
 		if p.Guard > 0 {
 			r["refused_above"] = p.Guard
 		}
 		asked["rehearse"] = r
 	}
 	if p.Probation > 0 {
-		r := map[string]any{"for": p.Probation.String()}
+		r := map[string]any{"length": p.Probation.String()}
 		if p.Bound > 0 {
 			r["held_above"] = p.Bound
 		}
