A bound between two clocks is as old as the hearing that it rests on

Ruled out: the machine's load (alone on it), the writing of histories (18 ms apart at most).

Cause: what a word says of two clocks rests on when its sender last heard the reader, which after a cut, or where words go one way, is seconds ago; the bound was dated by the word's arrival (tally.go, Heard), so that it did not widen meanwhile. Clocks 7% apart for 4 s shift it by 0.28 s.

Change: it is dated by the reader's own clock as the word gives it back. TestOldHearing fails before, holds after.

--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -365,10 +365,10 @@
 	if grown := s.high + (now-s.highAt)/apart; fresh || high <= grown {
 		s.high, s.highAt = high, now
 	}
-	if next.theirs > 0 {
+	if next.theirs > 0 { // as of when it heard us, which may be long ago
 		low := next.theirs - next.ours
-		if grown := s.low - (now-s.lowAt)/apart; !s.lowKnown || low >= grown {
-			s.low, s.lowAt, s.lowKnown = low, now, true
+		if !s.lowKnown || low-(now-next.theirs)/apart >= s.low-(now-s.lowAt)/apart {
+			s.low, s.lowAt, s.lowKnown = low, next.theirs, true
 		}
 	}
 	s.at, s.length, s.most, s.whole, s.rows, s.heardAt = next.at, next.length, next.most, next.whole, next.rows, now
--- a/internal/tally/tally_test.go
+++ b/internal/tally/tally_test.go
@@ -161,6 +161,35 @@
 	}
 }
 
+// What a word says of two clocks is as old as the hearing that it rests on: the teller's clock runs a twentieth fast, the hearer's a
+// twentieth slow, and for ten seconds words go one way only. The waiting tasks that it had are not read as of a time when they were gone.
+func TestOldHearing(t *testing.T) {
+	post := func() *post { return &post{map[string][]byte{}} }
+	mine, theirs := post(), post()
+	hearer, teller := New(0, "g0", 2, 100, 4*second, mine), New(0, "g1", 2, 100, 4*second, theirs)
+	fast := func(t Time) Time { return t + t/20 }
+	slow := func(t Time) Time { return t - t/20 }
+	teller.Count(0, Change{By: [3]int64{9}})
+	gone := 20 * second
+	for t0 := Time(0); t0 < 21*second; t0 += second / 20 {
+		teller.Due(fast(t0))
+		hearer.Due(slow(t0))
+		if m := theirs.sent["g0"]; m != nil {
+			hearer.Heard(slow(t0), "g1", 1, m)
+		}
+		if m := mine.sent["g1"]; m != nil && t0 < 10*second {
+			teller.Heard(fast(t0), "g0", 1, m)
+		}
+		if t0 == gone {
+			teller.Count(fast(t0), Change{By: [3]int64{-9}})
+		}
+		r := hearer.Read(slow(t0), Key{})
+		if at := t0 - r.Age*20/19; at > gone+second/50 && r.Counts[0].Of[Waits].Low > 0 {
+			t.Fatalf("as of %.2f s %v tasks are read that wait, which ended at %.2f s", float64(at)/float64(second), r.Counts[0].Of[Waits], float64(gone)/float64(second))
+		}
+	}
+}
+
 // Rows that don't fit are not taken for nothing.
 func TestManyKeys(t *testing.T) {
 	f := newFleet(3)
