A gateway that was killed has its part of shared totals after a loan, by a folder that proves the death

Change: fleet.budgets.folder has one file: the starts under which the part was claimed, the file's own device and inode, and the machine's boot, locked while the process lives. Who has that lock on that file in that boot knows that the processes in it have ended, and follows them. A copy, another boot, a second process beside it prove nothing and come with nothing. Loans are not written down: they are waited for. fleet code=follows, seated, folder.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -88,6 +88,9 @@
 	gateways int            // of the installation
 	shares   shares         // of budgets; nil: nothing is shared
 	purse    *budget.Purse  // the same, but in a measurement of the laboratory's
+	heir     *succession    // nil: who follows comes with nothing
+	settled  bool           // the part is held under this start, and may be used,
+	partAt   admission.Time // under which it was first claimed then
 	counts   *tally.Core
 	most     int64 // tasks in hand
 	readAt   admission.Time
@@ -190,6 +193,10 @@
 	}
 	if f.rights != nil {
 		f.rights.Plant()
+		if err := f.inherit(); err != nil {
+			f.socket.Close()
+			return err
+		}
 		if f.shares = f.beside(now); f.shares == nil {
 			f.purse = budget.NewPurse(f.part(now))
 			f.shares = f.purse
@@ -304,7 +311,7 @@
 			f.box.Run()
 			f.core.Leave(f.clock.Now())
 			if f.purse != nil {
-				f.purse.Step(func(c *budget.Core) { c.Farewell(f.clock.Now()) })
+				f.purse.Step(func(c *budget.Core) { f.bequeath(c.Farewell(f.clock.Now())) })
 			}
 			if f.policies.core != nil {
 				f.policies.stop(f.clock.Now())
@@ -333,6 +340,7 @@
 			f.purse.Renew(f.part(now))
 		}
 		f.shares.Due(now)
+		f.settle(now)
 	}
 	if f.policies.core != nil && !f.core.Quiet() {
 		f.policies.due(now)
--- a/internal/fleet/rights.go
+++ b/internal/fleet/rights.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -18,7 +19,8 @@
 	Number  uint64        // raised with every change of the totals
 	Names   []string      // of the budgets: a class and what is shared of it
 	Totals  []int64
-	Cold    bool // what engines that have just started may be sent is among them
+	Cold    bool   // what engines that have just started may be sent is among them
+	Folder  string // by that the part passes to the process that follows; empty: after its term alone
 }
 
 // shares are this gateway's part of what classes of the whole fleet may use. The first two calls are the fleet's goroutine's, the
@@ -98,9 +100,67 @@
 	return f.names[b]
 }
 
-// part is this process's in the budgets, with nothing.
+// part is this process's in the budgets, with nothing but what processes before it surely have no more.
 func (f *Fleet) part(now admission.Time) *budget.Core {
-	return budget.New(now, f.rights, f.name, f.core.Self().Start, f.seat, lender{f})
+	start := f.core.Self().Start
+	c := budget.New(now, f.rights, f.name, start, f.seat, lender{f})
+	if f.settled, f.partAt = false, now; f.heir == nil {
+		return c
+	}
+	after, err := f.heir.begin(start)
+	f.inFolder(err)
+	if len(after) > 0 {
+		c.Follow(after)
+		f.log.Info("fleet", "code", "follows", "starts", after)
+	}
+	return c
+}
+
+// inherit opens the folder that passes the part on. Where another process goes by it, this one comes with nothing.
+func (f *Fleet) inherit() (err error) {
+	folder := f.plan.Budgets.Folder
+	if folder == "" {
+		return nil
+	}
+	if f.heir, err = follow(folder, f.name); errors.Is(err, errFollowed) {
+		f.inFolder(err)
+		return nil
+	} else if err != nil {
+		return fmt.Errorf("fleet.budgets.folder: %w", err)
+	}
+	return nil
+}
+
+// settle takes in that the part is held, and that it may be used.
+func (f *Fleet) settle(now admission.Time) {
+	if f.settled || f.purse == nil {
+		return
+	}
+	var held bool
+	f.purse.Step(func(c *budget.Core) { held, f.settled = c.Seated(now) })
+	if held && f.heir != nil {
+		f.inFolder(f.heir.held())
+	}
+	if f.settled {
+		f.log.Info("fleet", "code", "seated", "seat", f.seat, "after", time.Duration(now-f.partAt)*100*time.Microsecond)
+	}
+}
+
+// bequeath leaves the part to whoever follows; free: it is nobody's already.
+func (f *Fleet) bequeath(free bool) {
+	if f.heir == nil {
+		return
+	}
+	if free {
+		f.inFolder(f.heir.left())
+	}
+	f.inFolder(f.heir.close())
+}
+
+func (f *Fleet) inFolder(err error) {
+	if err != nil {
+		f.log.Warn("fleet", "code", "folder", "error", err)
+	}
 }
 
 // paid takes in a message on budgets; where more of one may be used now, tasks that wait for it go out at once.
--- a/internal/operator/source/source.go
+++ b/internal/operator/source/source.go
@@ -64,7 +64,7 @@
 	if l := o.Object("fleet"); l != nil {
 		f.Fleet = members(l)
 		if k := l.Object("budgets"); k != nil {
-			b := &fleet.Budgets{Keepers: k.Texts("keepers"), Term: k.Duration("term", usualTerm), Number: uint64(k.Count("number", 1, 1, 1<<30))}
+			b := &fleet.Budgets{Keepers: k.Texts("keepers"), Term: k.Duration("term", usualTerm), Number: uint64(k.Count("number", 1, 1, 1<<30)), Folder: k.Text("folder", "")}
 			if n := len(b.Keepers); n != 1 && n != 3 && n != 5 {
 				k.Fail("keepers", "the names of 1, 3 or 5 gateways")
 			}
--- a/internal/scenario/run.go
+++ b/internal/scenario/run.go
@@ -117,7 +117,7 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, err
 	}
-	for _, kind := range []string{"*.history", "*.state", "*.policy", "*.older", "died"} { // of a run before: its tasks bear the same ids
+	for _, kind := range []string{"*.history", "*.state", "*.policy", "*.seat", "*.older", "died"} { // of a run before: its tasks bear the same ids
 		old, _ := filepath.Glob(filepath.Join(folder, kind))
 		for _, f := range old {
 			os.RemoveAll(f)
--- a/internal/site/fleet.go
+++ b/internal/site/fleet.go
@@ -234,6 +234,9 @@
 		file["budgets"] = map[string]any{"keepers": g.site.Keepers(), "term": f.Term.String(), "number": max(1, w.Number), "cold": f.Cold}
 		whole["statements"] = map[string]any{"classes": []any{class}}
 	}
+	if b, ok := file["budgets"].(map[string]any); ok && g.site.plan.State {
+		b["folder"] = g.SeatFolder()
+	}
 	text, err := json.MarshalIndent(whole, "", " ")
 	if err == nil {
 		err = os.WriteFile(path, text, 0o600)
@@ -254,10 +257,18 @@
 	return filepath.Join(g.site.Folder, "g"+strconv.Itoa(g.n)+".policy")
 }
 
+// SeatFolder is where it keeps by which its part of the fleet's budgets passes to the process that follows.
+func (g *Gateway) SeatFolder() string {
+	return filepath.Join(g.site.Folder, "g"+strconv.Itoa(g.n)+".seat")
+}
+
 // folders are those that survive its process.
 func (g *Gateway) folders() (out []string) {
 	if g.site.plan.State {
 		out = append(out, g.StateFolder())
+		if _, err := os.Stat(g.SeatFolder()); err == nil {
+			out = append(out, g.SeatFolder())
+		}
 	}
 	if f := g.site.plan.Fleet; f != nil && f.Charter.Voters > 0 {
 		out = append(out, g.PolicyFolder())
