--- a/internal/scenario/policy.go
+++ b/internal/scenario/policy.go
@@ -113,20 +113,31 @@
 	p.offers.Add(1)
 	go func() {
 		defer p.offers.Done()
-		began := time.Now()
-		a, err := p.asks(context.Background(), first, q, began.Add(p.s.endsWithin()))
-		k := Proposed{At: began.Sub(p.began), By: first.Label(), Took: time.Since(began), End: "unknown", id: id, digest: charter.Of(q.Text).String()}
-		if err == nil && a.Result != nil {
-			k.End, k.Number, k.Why = a.Result.End, a.Result.Number, a.Result.Why
-		} else if err != nil {
-			k.Why = err.Error()
+		for by := time.Now().Add(p.s.endsWithin()); p.attempt(first, q) && t.As == "" && time.Now().Before(by); time.Sleep(100 * time.Millisecond) {
+			q.ID = rand.Uint64() | 1 // another one was open: it is proposed again, as its operator would
 		}
-		p.mu.Lock()
-		p.made = append(p.made, k)
-		p.mu.Unlock()
 	}()
 }
 
+// attempt makes a proposal and waits for its end; true: another one was open.
+func (p *play) attempt(first *site.Gateway, q *fleet.PolicyAsk) bool {
+	began := time.Now()
+	a, err := p.asks(context.Background(), first, q, began.Add(p.s.endsWithin()))
+	k := Proposed{At: began.Sub(p.began), By: first.Label(), Took: time.Since(began), End: "unknown", id: q.ID, digest: charter.Of(q.Text).String()}
+	if q.Text == nil { // of one before
+		k.digest = ""
+	}
+	if err == nil && a.Result != nil {
+		k.End, k.Number, k.Why = a.Result.End, a.Result.Number, a.Result.Why
+	} else if err != nil {
+		k.Why = err.Error()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.made = append(p.made, k)
+	return k.End == "refused" && strings.Contains(k.Why, "is open")
+}
+
 // first has the scenario's limits be the first policy, and all go by it.
 func (p *play) first(ctx context.Context) error {
 	q := &fleet.PolicyAsk{Do: "propose", ID: 1, Text: (&site.Policy{Whole: p.s.Whole, Fleet: p.s.Whole.Any()}).Text()}
