--- a/internal/scenario/policy.go
+++ b/internal/scenario/policy.go
@@ -138,9 +138,14 @@
 	return k.End == "refused" && strings.Contains(k.Why, "is open")
 }
 
+// firstText is the first policy's: the scenario's limits.
+func (p *play) firstText() []byte {
+	return (&site.Policy{Whole: p.s.Whole, Fleet: p.s.Whole.Any()}).Text()
+}
+
 // first has the scenario's limits be the first policy, and all go by it.
 func (p *play) first(ctx context.Context) error {
-	q := &fleet.PolicyAsk{Do: "propose", ID: 1, Text: (&site.Policy{Whole: p.s.Whole, Fleet: p.s.Whole.Any()}).Text()}
+	q := &fleet.PolicyAsk{Do: "propose", ID: 1, Text: p.firstText()}
 	by := time.Now().Add(p.s.Settle + 5*p.s.Charter.Lease)
 	a, err := p.asks(ctx, p.site.Gateways[len(p.site.Gateways)-1], q, by)
 	if err != nil {
@@ -309,7 +314,7 @@
 		}
 		ends[k.id] = k
 	}
-	decided := map[string]bool{}
+	decided := map[string]bool{charter.Of(p.firstText()).String(): true}
 	for _, k := range r.Proposals {
 		decided[k.digest] = decided[k.digest] || k.End != "dropped" && k.End != "refused" && k.End != "rehearsed"
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -184,9 +184,12 @@
 	e.Reset()
 }
 
-// Accept lets it take connections again, at the same address.
+// Accept lets it take connections again, at the same address; another process that looks for free ones may have it for a moment.
 func (e *Engine) Accept() error {
 	l, err := net.Listen("tcp", e.Address)
+	for by := time.Now().Add(time.Second); err != nil && time.Now().Before(by); l, err = net.Listen("tcp", e.Address) {
+		time.Sleep(10 * time.Millisecond)
+	}
 	if err != nil {
 		return fmt.Errorf("engine %s: %w", e.Name, err)
 	}
