The walk shows why a keeper enters only once the others know the same starts as it

Change: a model in which a keeper enters between a doubled one's two processes; planted, a keeper that opens whatever the others know of each other.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -52,6 +52,7 @@
 	followsAtOnce           // who follows a process uses its part while what that one lent is still out
 	followsAnyone           // a keeper has a seat pass to whoever follows any process under its name
 	countsStrangers         // confirmations count together though neither keeper knew the other
+	entersUnequal           // a keeper opens once all others know its start, whatever they know of each other
 	lendsNothing            // no defect, but what this is measured against: parts stay as they are
 )
 
@@ -661,12 +662,14 @@
 	switch m.Kind {
 	case Enter:
 		if k := slices.Index(c.plan.Keepers, m.From); k >= 0 && c.keeper >= 0 && k != c.keeper && m.Start >= c.starts[k] && len(m.Starts) == len(c.starts) {
-			c.learn(m.Starts)
+			if c.plan.planted != entersUnequal {
+				c.learn(m.Starts)
+			}
 			c.send(m.From, Message{Kind: Entered, For: m.Start, Starts: slices.Clone(c.starts)})
 		}
 	case Entered:
 		if k := slices.Index(c.plan.Keepers, m.From); k >= 0 && c.keeper >= 0 && m.For == c.start && len(m.Starts) == len(c.starts) {
-			if c.learn(m.Starts); c.openAt == Never && m.Start == c.starts[k] && slices.Equal(m.Starts, c.starts) {
+			if c.learn(m.Starts); c.openAt == Never && m.Start == c.starts[k] && (slices.Equal(m.Starts, c.starts) || c.plan.planted == entersUnequal) {
 				c.known[k] = m.Start
 				c.entered()
 			}
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -42,6 +42,7 @@
 		{"who follows uses its part at once", returns(followsAtOnce)},
 		{"a keeper that gives the seat to who follows another than its holder", seats(followsAnyone, 0, 1, 0, 1, 3)},
 		{"keepers that count together though neither has heard of the other", forgotten(countsStrangers)},
+		{"a keeper that enters by others who know less than it", entering(entersUnequal)},
 		{"a confirmation that counts from when it came", seats(fromArrival, 0, 0, 0, 1, 3)},
 	} {
 		r := explore.Walk(c.w, 1_500_000, 1000)
--- a/internal/budget/model.go
+++ b/internal/budget/model.go
@@ -472,6 +472,18 @@
 	return w
 }
 
+// entering is that with one of the two still to enter, by either process of the third; it was answered by the later one and by the other.
+func entering(p defect) *world {
+	w := forgotten(p)
+	c := w.actors[2].core
+	c.unknown()
+	c.announce()
+	w.toldTo([]int{1, 5})
+	w.toldTo([]int{2})
+	w.mail = nil
+	return w
+}
+
 // subset is some of the keepers' processes.
 type subset struct {
 	actors []int
@@ -533,6 +545,7 @@
 	each("seats, 3 keepers, a member and its double, one of them killed and followed", explore.Walk(seats(none, 0, 1, 0, 1, 3), most, 1000))
 	each("seats, 3 keepers, a member and its double, a keeper's double, known by one", explore.Walk(doubled(none), most, 1000))
 	each("seats, 3 keepers, a member and its double, a keeper's double, known by none any more", explore.Walk(forgotten(none), most, 1000))
+	each("seats, 3 keepers, a member and its double, a keeper's double, and another that enters", explore.Walk(entering(none), most, 1000))
 	each("seats, 3 keepers, a member and its double, a keeper killed", explore.Walk(seats(none, 1, 0, 0, 1, 3), most, 1000))
 	each("seats, 3 keepers, a member and its double, a keeper doubled", explore.Walk(seats(none, 0, 0, 1, 1, 7), most, 1000))
 }
