--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -242,8 +242,10 @@
 // Sent takes in a hand-off.
 func (f *Fleet) Sent(now admission.Time, task admission.TaskID, engine admission.EngineID) {
 	f.cold.sent(now, engine)
-	if f.history != nil {
-		f.history.Write(history.Event{What: history.Sent, Engine: string(engine), Task: string(task)})
+	if asOf := f.AsOf(); f.history != nil {
+		f.box.Put(func() { // in the order in which the owner told it and the list
+			f.history.Write(history.Event{What: history.Sent, Engine: string(engine), Task: string(task), AsOf: asOf})
+		})
 	}
 }
 
