Requests carry tenant, key, token and estimates where a deployment's clients send them

At fault: mysql.Statement refused what it did not know, session.query passed tenant 0 and no key, resp.Do had no token.

Now mysql.ReadRequest reads a typed Request; tenant and token must fit the settings, estimates are bounded by the class's longest wait and the largest machine; the token goes out with each attempt, so engines tell a repeat.

--- a/cmd/magpiebank-operator/explain.go
+++ b/cmd/magpiebank-operator/explain.go
@@ -90,11 +90,11 @@
 }
 
 func explain(out io.Writer, s *operator.Statements, lane string, sql []byte) error {
-	if class, _, _, body, err := mysql.Statement(sql); err == nil {
+	if request, err := mysql.ReadRequest(sql); err == nil {
 		if lane == "" {
-			lane = string(class)
+			lane = string(request.Class)
 		}
-		sql = body
+		sql = request.Statement
 	}
 	lanes := []string{lane}
 	b := s.Book(len(lanes))
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -111,6 +111,7 @@
 // the waits that the site states.
 type Network struct {
 	Lanes, Zones, Kinds []string
+	Tenants             []string        // empty: requests name none
 	Longest             []time.Duration // that a lane's client waits; 0: not told
 	Streams             int             // hand-offs that one engine connection carries at the same time
 	ConnectWithin       time.Duration
@@ -136,6 +137,9 @@
 	if s.Num("familyInfo", "progressPaceUs") < 0 {
 		s.Fail("a time of 0 or more", "familyInfo", "progressPaceUs")
 	}
+	for i := range s.List("projects") {
+		n.Tenants = append(n.Tenants, s.Needed("projects", i, "name"))
+	}
 	for i := range s.List("classes") {
 		n.Lanes = append(n.Lanes, s.Needed("classes", i, "name"))
 		n.Longest = append(n.Longest, time.Duration(s.Num("classes", i, "deadlineUs"))*time.Microsecond)
--- a/internal/importer/read.go
+++ b/internal/importer/read.go
@@ -93,14 +93,14 @@
 	r := trace.Record{Lane: lane, Group: group, WaitMS: waitMS, Retry: retry}
 	if statement != "" {
 		text := []byte(statement)
-		if class, _, wait, body, err := mysql.Statement(text); err == nil { // fields of our own protocol
+		if request, err := mysql.ReadRequest(text); err == nil { // fields of our own protocol
 			if r.Lane == "" {
-				r.Lane = string(class)
+				r.Lane = string(request.Class)
 			}
 			if r.WaitMS == 0 {
-				r.WaitMS = wait
+				r.WaitMS = request.WaitMS
 			}
-			text = body
+			text = request.Statement
 		}
 		r.Shape = sqltext.Shape(text)
 		if r.Group == 0 {
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -16,71 +16,152 @@
 	ErrClass  = errors.New("field class: expected a name")
 	ErrID     = errors.New("field id: expected 16 hex digits in lower case")
 	ErrWait   = errors.New("field wait: expected milliseconds above 0, at most the class's longest wait")
-	ErrField  = errors.New("a field stands twice, or is none of class, id, wait and retry=1")
+	ErrTenant = errors.New("field tenant: expected a name of the settings")
+	ErrOnce   = errors.New("field once: expected 32 hex digits in lower case")
+	ErrKey    = errors.New("field key: expected 16 hex digits in lower case")
+	ErrCost   = errors.New("field cost: expected milliseconds of 0 or more")
+	ErrMemory = errors.New("field mb: expected megabytes of 0 or more")
+	ErrField  = errors.New("a field stands twice, or is none of class, id, wait, retry=1, tenant, key, once, cost and mb")
 	ErrText   = errors.New("expected the text of one statement")
 )
 
-// Statement reads the fields in the comment before a statement and returns the statement without it. The parts
-// lie in the text. What no client of the protocol sends is an error: engines fail on it, or close.
-func Statement(sql []byte) (class, id []byte, waitMS int64, body []byte, err error) {
+// The lengths of the fields that are hexadecimal digits, and the longest estimate that is taken: days, or a petabyte.
+const (
+	idDigits     = 16
+	keyDigits    = 16
+	onceDigits   = 32
+	mostEstimate = 1e9
+)
+
+// Request is a client's query: the fields in the comment before its statement, and the statement without it. The slices lie in
+// the text that it was read from.
+type Request struct {
+	Class, ID []byte
+	WaitMS    int64 // how long the client waits for the whole answer
+	Retry     bool  // it is a client's own further try
+
+	// What clients of some deployments send besides; empty or 0 where they don't.
+	Tenant   []byte
+	Key      []byte  // requests with the same key may have to run in order
+	Once     []byte  // the idempotency token, by which engines tell a repeat; the same for all tries of a client
+	WorkMS   float64 // the client's estimate of the work, in milliseconds on one thread
+	MemoryMB float64 // and of the memory
+
+	Statement []byte
+}
+
+// ReadRequest reads the fields in the comment before a statement, and the statement. What no client of the protocol sends is an
+// error: engines fail on it, or close.
+func ReadRequest(sql []byte) (r Request, err error) {
 	rest := bytes.TrimLeft(sql, " \t\r\n")
 	rest, ok := bytes.CutPrefix(rest, []byte("/*"))
 	if !ok {
-		return nil, nil, 0, nil, ErrFields
+		return r, ErrFields
 	}
 	fields, body, ok := bytes.Cut(rest, []byte("*/"))
 	if !ok {
-		return nil, nil, 0, nil, ErrFields
+		return r, ErrFields
 	}
 	for len(fields) > 0 {
 		var field []byte
 		field, fields, _ = bytes.Cut(fields, []byte{','})
 		name, value, _ := bytes.Cut(bytes.TrimSpace(field), []byte{'='})
-		switch string(name) {
-		case "class":
-			if class != nil {
-				return nil, nil, 0, nil, ErrField
-			}
-			class = value
-		case "id":
-			if id != nil {
-				return nil, nil, 0, nil, ErrField
-			}
-			id = value
-		case "wait":
-			if waitMS != 0 {
-				return nil, nil, 0, nil, ErrField
-			}
-			if waitMS, err = strconv.ParseInt(string(value), 10, 32); err != nil {
-				return nil, nil, 0, nil, ErrWait
-			}
-		case "retry":
-			if string(value) != "1" {
-				return nil, nil, 0, nil, ErrField
-			}
-		default:
-			return nil, nil, 0, nil, ErrField
+		if err := r.set(string(name), value); err != nil {
+			return r, err
+		}
+	}
+	r.Statement = bytes.TrimLeft(body, " \t\r\n")
+	return r, r.check()
+}
+
+// set takes in one field.
+func (r *Request) set(name string, value []byte) (err error) {
+	switch name {
+	case "class":
+		return once(&r.Class, value)
+	case "id":
+		return once(&r.ID, value)
+	case "wait":
+		if r.WaitMS != 0 {
+			return ErrField
 		}
+		if r.WaitMS, err = strconv.ParseInt(string(value), 10, 32); err != nil {
+			return ErrWait
+		}
+	case "retry":
+		if r.Retry || string(value) != "1" {
+			return ErrField
+		}
+		r.Retry = true
+	case "tenant":
+		if len(value) == 0 {
+			return ErrTenant
+		}
+		return once(&r.Tenant, value)
+	case "key":
+		if !hexDigits(value, keyDigits) {
+			return ErrKey
+		}
+		return once(&r.Key, value)
+	case "once":
+		if !hexDigits(value, onceDigits) {
+			return ErrOnce
+		}
+		return once(&r.Once, value)
+	case "cost":
+		return estimate(&r.WorkMS, value, ErrCost)
+	case "mb":
+		return estimate(&r.MemoryMB, value, ErrMemory)
+	default:
+		return ErrField
+	}
+	return nil
+}
+
+// once keeps the value of a field that may stand only once.
+func once(field *[]byte, value []byte) error {
+	if *field != nil {
+		return ErrField
 	}
-	body = bytes.TrimLeft(body, " \t\r\n")
+	*field = value
+	return nil
+}
+
+// estimate keeps the value of a field that is an amount.
+func estimate(field *float64, value []byte, malformed error) error {
+	if *field != 0 {
+		return ErrField
+	}
+	amount, err := strconv.ParseFloat(string(value), 64)
+	if err != nil || !(amount >= 0 && amount <= mostEstimate) {
+		return malformed
+	}
+	*field = amount
+	return nil
+}
+
+// check tells what a request lacks.
+func (r *Request) check() error {
+	body := r.Statement
 	switch {
 	case len(body) == 0 || !utf8.Valid(body) || bytes.IndexByte(body, 0) >= 0 || !single(body):
-		err = ErrText
-	case len(class) == 0:
-		err = ErrClass
-	case !hex16(id):
-		err = ErrID
-	case waitMS <= 0:
-		err = ErrWait
-	}
-	return class, id, waitMS, body, err
+		return ErrText
+	case len(r.Class) == 0:
+		return ErrClass
+	case !hexDigits(r.ID, idDigits):
+		return ErrID
+	case r.WaitMS <= 0:
+		return ErrWait
+	}
+	return nil
 }
 
-func hex16(id []byte) bool {
-	if len(id) != 16 {
+// hexDigits tells whether a text is so many hexadecimal digits in lower case.
+func hexDigits(text []byte, count int) bool {
+	if len(text) != count {
 		return false
 	}
-	for _, c := range id {
+	for _, c := range text {
 		if !('0' <= c && c <= '9' || 'a' <= c && c <= 'f') {
 			return false
 		}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -80,20 +80,33 @@
 	return dst
 }
 
-// Do gathers the request for a task: a head made in dst, and the statement as it lies.
-func Do(dst []byte, id, lane string, patienceMS int64, memoryMB float64, rank int, statement []byte) net.Buffers {
+// Attempt is what an engine is told of one attempt at a request.
+type Attempt struct {
+	ID, Class string
+	TimeoutMS int64
+	MemoryMB  float64 // the grant; below 1: the engine's own choice
+	Priority  int
+	Token     []byte // by which engines tell a repeat; empty: none
+	Statement []byte
+}
+
+// Do gathers an attempt: a head made in dst, and the statement as it lies.
+func Do(dst []byte, a Attempt) net.Buffers {
 	dst = append(head(dst, '*', 4), "$2\r\ndo\r\n"...)
-	dst = bulk(dst, id)
-	fields := make([]byte, 0, 96)
-	fields = append(append(fields, "kind="...), lane...)
-	fields = strconv.AppendInt(append(fields, ",ms="...), patienceMS, 10)
-	if mb := int64(memoryMB); mb > 0 {
+	dst = bulk(dst, a.ID)
+	fields := make([]byte, 0, 144)
+	fields = append(append(fields, "kind="...), a.Class...)
+	fields = strconv.AppendInt(append(fields, ",ms="...), a.TimeoutMS, 10)
+	if mb := int64(a.MemoryMB); mb > 0 {
 		fields = strconv.AppendInt(append(fields, ",mem="...), mb, 10)
 	}
-	fields = strconv.AppendInt(append(fields, ",prio="...), int64(rank), 10)
+	fields = strconv.AppendInt(append(fields, ",prio="...), int64(a.Priority), 10)
+	if len(a.Token) > 0 {
+		fields = append(append(fields, ",token="...), a.Token...)
+	}
 	dst = bulk(dst, fields)
-	dst = head(dst, '$', len(statement))
-	return net.Buffers{dst, statement, []byte("\r\n")}
+	dst = head(dst, '$', len(a.Statement))
+	return net.Buffers{dst, a.Statement, []byte("\r\n")}
 }
 
 func head(dst []byte, mark byte, n int) []byte {
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
@@ -96,7 +97,8 @@
 	if up {
 		l.arm()
 	} else {
-		h.statement = append([]byte(nil), h.statement...) // the session may read on before it is written
+		h.statement = bytes.Clone(h.statement) // the session may read on before it is written
+		h.token = bytes.Clone(h.token)
 		l.waiting = append(l.waiting, h)
 	}
 	e.mu.Unlock()
--- a/internal/router/handoff.go
+++ b/internal/router/handoff.go
@@ -23,6 +23,7 @@
 	stop      func()
 	lane      string
 	statement []byte
+	token     []byte // by which engines tell a repeat; empty: none
 	patience  admission.Time
 	memory    float64
 	state     atomic.Int32
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -10,8 +10,8 @@
 
 func (a host) HandOff(id admission.TaskID, name admission.EngineID, patience admission.Time) {
 	t, e := a.o.tasks[id], a.o.engines[name]
-	h := &handOff{of: t, to: e, task: id, n: t.tries, lane: t.name, statement: t.statement, patience: patience, memory: t.memory,
-		rank: t.rank, report: admission.NoReport}
+	h := &handOff{of: t, to: e, task: id, n: t.tries, lane: t.name, statement: t.statement, token: t.token, patience: patience,
+		memory: t.memory, rank: t.rank, report: admission.NoReport}
 	t.tries++
 	t.out = h
 	h.stop = a.o.clock.After(patience, func() {
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -73,8 +73,9 @@
 		if passed = h.by != 0; !h.state.CompareAndSwap(fresh, written) {
 			return nil
 		}
-		return resp.Do(make([]byte, 0, 256), string(h.task), h.lane, max(1, int64(h.patience/admission.Millisecond)),
-			h.memory, rank, h.statement)
+		return resp.Do(make([]byte, 0, 320), resp.Attempt{ID: string(h.task), Class: h.lane,
+			TimeoutMS: max(1, int64(h.patience/admission.Millisecond)), MemoryMB: h.memory, Priority: rank,
+			Token: h.token, Statement: h.statement})
 	})
 	if passed {
 		l.e.o.desk.Passed(h.by, h.task)
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -144,6 +144,9 @@
 			return
 		}
 		f.Past = t.foreseen.Past
+		if f.Work == 0 { // what the client says of it stands where nothing was learned
+			f.Work, f.Memory = t.foreseen.Work, max(f.Memory, t.foreseen.Memory)
+		}
 		t.foreseen, t.class = f, f.Class
 	}
 	if o.keep != nil && !o.take(now, t) {
@@ -156,7 +159,7 @@
 	o.tasks[t.id] = t
 	o.moved(t, Place{In: true})
 	t.rank = 1
-	o.module.Arrived(now, t.id, t.cutoff, t.lane, 0, "", t.tables, t.foreseen)
+	o.module.Arrived(now, t.id, t.cutoff, t.lane, t.tenant, t.key, t.tables, t.foreseen)
 }
 
 // tellEnded queues the end of a hand-off.
--- /dev/null
+++ b/internal/router/query.go
@@ -0,0 +1,176 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/deployment"
+	"magpiebank/internal/mysql"
+)
+
+// query queues a statement as a task and sees it through.
+func (s *session) query(sql []byte) {
+	request, err := mysql.ReadRequest(sql)
+	class := slices.Index(s.o.network.Lanes, string(request.Class))
+	if err == nil {
+		err = checkRequest(&request, class, s.o.network, s.o.site)
+	}
+	if err != nil {
+		s.amiss(mysql.ErrParse, err.Error())
+		return
+	}
+	if s.ahead() {
+		s.dismiss("pipelined", mysql.ErrParse, "a command before the answer to the last")
+		return
+	}
+	if string(request.ID) == string(s.lastID[:]) {
+		s.dismiss("repeated", mysql.ErrParse, "the id was used before")
+		return
+	}
+	copy(s.lastID[:], request.ID)
+	s.odd = 0
+	t := s.newTask(&request, class)
+	wait := time.Duration(request.WaitMS) * time.Millisecond
+	s.answerBy = time.Now().Add(wait + afterCutoff)
+	s.waiting = true
+	if s.reader != nil {
+		s.reader.Read(t.statement, class, t.tables)
+	}
+	s.o.tape.Task(t.name, t.tables, request.WaitMS, sql, t.statement)
+	s.o.tell(func(now admission.Time) {
+		t.cutoff = now + admission.Time(wait/tenth)
+		s.taken = t
+		s.o.arrived(now, t)
+	})
+	for s.waiting {
+		<-s.mail.Wake
+		s.mail.Run()
+	}
+	for _, h := range s.made {
+		h.forget()
+	}
+	clear(s.made) // an idle session keeps no results
+	s.made = s.made[:0]
+}
+
+// checkRequest tells what of a request doesn't fit the deployment's settings: its class has the given number, below 0 where it
+// is none of theirs.
+func checkRequest(r *mysql.Request, class int, n *deployment.Network, site *admission.Deployment) error {
+	switch {
+	case class < 0:
+		return mysql.ErrClass
+	case n.Longest[class] > 0 && r.WaitMS > 2*n.Longest[class].Milliseconds():
+		return mysql.ErrWait
+	case len(r.Tenant) > 0 && !slices.Contains(n.Tenants, string(r.Tenant)):
+		return mysql.ErrTenant
+	case len(r.Once) > 0 && site.Lanes[class].Effect != admission.Deduplicated:
+		return mysql.ErrField
+	}
+	return nil
+}
+
+// newTask makes a task of a request; its statement and token lie in the session's buffer.
+func (s *session) newTask(r *mysql.Request, class int) *task {
+	return &task{id: admission.TaskID(r.ID), by: s, lane: class, name: s.o.network.Lanes[class], statement: r.Statement,
+		tables: mysql.Tables(r.Statement), tenant: max(0, slices.Index(s.o.network.Tenants, string(r.Tenant))),
+		key: string(r.Key), token: r.Once, reader: s.reader, foreseen: s.o.estimate(r, class)}
+}
+
+// estimate is what a client says that its request will take, within what could be served at all: a wrong one must not
+// spoil what is learned of the class. Work has the longest wait on all its threads, memory the largest machine's.
+func (o *owner) estimate(r *mysql.Request, class int) admission.Foreseen {
+	work, memory := r.WorkMS, r.MemoryMB
+	if longest := o.network.Longest[class]; longest > 0 {
+		work = min(work, float64(longest.Milliseconds())*float64(o.site.Lanes[class].Threads))
+	}
+	if sizes := o.site.Memory; len(sizes) > 0 {
+		memory = min(memory, slices.Max(sizes))
+	}
+	return admission.Foreseen{Work: admission.Time(work * float64(admission.Millisecond)), Memory: memory}
+}
+
+// ahead tells of commands that came before the answer to the one in hand; that the client leaves then is fine.
+func (s *session) ahead() bool {
+	next, _ := s.r.Peek(s.r.Buffered())
+	return len(next) > 0 && !(len(next) == mysql.HeadSize+1 && next[mysql.HeadSize] == mysql.Quit)
+}
+
+// What the owner tells it; the calls that write are made by the session's goroutine.
+
+func (s *session) do(call func()) { s.mail.Put(call) }
+
+func (s *session) carry(h *handOff, to carrier) {
+	s.mail.Put(func() {
+		s.made = append(s.made, h)
+		to.send(h)
+	})
+}
+
+// over has a call be the last of a task.
+func (s *session) over(call func()) {
+	s.taken = nil
+	s.mail.Put(call)
+}
+
+func (s *session) delivered(h *handOff) {
+	s.over(func() {
+		s.deliver(h.pages)
+		if s.reader != nil && h.to != nil { // not an answer of before
+			s.reader.Answered(h.work, h.needs)
+		}
+	})
+}
+
+func (s *session) nacked(comeBack admission.Time) {
+	s.over(func() { s.nack(int64(comeBack / admission.Millisecond)) })
+}
+func (s *session) writtenOff()        { s.over(s.writeOff) }
+func (s *session) barred(why string)  { s.over(func() { s.bar(why) }) }
+func (s *session) refused(why string) { s.over(func() { s.refuse(why) }) }
+func (s *session) left()              { s.over(s.leave) }
+
+// deliver writes a result.
+func (s *session) deliver(pages [][]byte) {
+	s.waiting, s.turns = false, 0
+	head, number := mysql.Columns(make([]byte, 0, 512), s.number+1)
+	size := 0
+	for _, page := range pages {
+		size += len(page) + len(page)/2
+	}
+	rows, err := make([]byte, 0, size), error(nil)
+	for _, page := range pages {
+		if rows, number, err = mysql.Rows(rows, number, page); err != nil {
+			s.write(mysql.Error(nil, s.number+1, mysql.ErrWrittenOff, "the engine's answer can't be read"))
+			return
+		}
+	}
+	s.write(head, rows, mysql.EOF(nil, number))
+}
+
+// bar gives a task the final answer that an operator's rule has for it.
+func (s *session) bar(why string) {
+	s.waiting = false
+	s.turnAway()
+	s.write(mysql.Error(nil, s.number+1, mysql.ErrBarred, why))
+}
+
+func (s *session) nack(comeBackMS int64) {
+	s.waiting = false
+	s.turnAway()
+	s.write(mysql.Nack(nil, s.number+1, comeBackMS))
+}
+
+func (s *session) writeOff() {
+	s.waiting = false
+	s.write(mysql.Error(nil, s.number+1, mysql.ErrWrittenOff, "written off"))
+}
+
+// refuse answers a query that never became a task.
+func (s *session) refuse(why string) {
+	s.waiting = false
+	s.amiss(mysql.ErrParse, why)
+}
+
+// leave ends a task whose client stopped waiting; no answer is owed.
+func (s *session) leave() { s.waiting = false }
--- a/internal/router/task.go
+++ b/internal/router/task.go
@@ -37,6 +37,9 @@
 	name      string // of the lane
 	statement []byte
 	tables    int
+	tenant    int    // its number in the settings
+	key       string // requests of a class in order run one at a time under it; empty: none
+	token     []byte // the client's idempotency token; empty: none
 	cutoff    admission.Time
 	reader    Reader // nil: its statement wasn't read
 
--- a/internal/standin/front.go
+++ b/internal/standin/front.go
@@ -163,22 +163,22 @@
 
 // query answers one query; it tells whether the session goes on.
 func (f *Front) query(tcp net.Conn, out *[]byte, number byte, sql []byte, came time.Time) bool {
-	class, id, _, body, err := mysql.Statement(sql)
+	request, err := mysql.ReadRequest(sql)
 	if err != nil {
 		_, err := tcp.Write(mysql.Error((*out)[:0], number+1, mysql.ErrParse, err.Error()))
 		return err == nil
 	}
 	if f.Log != nil {
-		f.Log.came(string(id), came)
+		f.Log.came(string(request.ID), came)
 	}
-	w := find(f.works, string(class), string(body))
-	f.work(w.Service.draw(string(id)))
+	w := find(f.works, string(request.Class), string(request.Statement))
+	f.work(w.Service.draw(string(request.ID)))
 	n := f.answers.Add(1)
 	every := func(of *atomic.Int64) bool { k := of.Load(); return k > 0 && n%k == 0 }
 	if every(&f.Drop) {
 		return false
 	}
-	of := string(id)
+	of := string(request.ID)
 	if every(&f.Spoil) {
 		of = "0000000000000000" // rows of another task
 	}
@@ -195,8 +195,8 @@
 	*out = b
 	_, err = tcp.Write(b)
 	if f.Log != nil {
-		f.Log.ran(string(id))
-		f.Log.left(string(id), "data", time.Now())
+		f.Log.ran(string(request.ID))
+		f.Log.left(string(request.ID), "data", time.Now())
 	}
 	return err == nil
 }
