A client that leaves is seen while its request is in hand; stops and closes reset nobody

Who sends more before the answer is ended (code flooded). - an attempt withdrawn since its client left before its connection was up counted as an unreachable engine; now it counts nothing. - owner.serve closed the listener over what the system had accepted (reset); now acceptor.stop empties the backlog first, and the listener stays until all that was taken is answered. TestBurst reads who was displaced from the sessions, as enter now returns a verdict; its trace is unchanged.

Ruled out: an extra goroutine a session (memory a connection), TCP_INFO (not on every platform's sockets).

--- a/internal/router/door.go
+++ b/internal/router/door.go
@@ -16,6 +16,7 @@
 	mu      sync.Mutex
 	room    int // 0: no limit
 	in      int // sessions that run
+	leaving int // connections that end and are lingered for, beyond room
 	closing bool
 	strange list.List // sessions in line that have asked for nothing yet
 	known   list.List // the others in line
@@ -30,27 +31,71 @@
 	lastLook = 100 * time.Millisecond
 )
 
-// enter lets a session in, where need be for the one it returns, which is to be closed. ok: there was room.
-func (d *door) enter(s *session) (displaced *session, ok bool) {
+// verdict is what becomes of a client that connects.
+type verdict int
+
+const (
+	entered        verdict = iota
+	refusedFull            // all are in the middle of a query
+	refusedClosing         // the router stops
+)
+
+// mostLeaving is how many connections that end may be lingered for at a time: a part of ownDescriptors. Beyond it they are
+// closed at once, as a descriptor is wanted for the next.
+const mostLeaving = ownDescriptors / 3
+
+// enter lets a session in, where need be in the place of another.
+func (d *door) enter(s *session) verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closing {
-		return nil, false
+		return refusedClosing
 	}
 	if d.room > 0 && d.in >= d.room {
-		if displaced = firstSilent(&d.strange); displaced == nil {
+		displaced := firstSilent(&d.strange)
+		if displaced == nil {
 			displaced = firstSilent(&d.known)
 		}
 		if displaced == nil {
-			return nil, false
+			return refusedFull
 		}
-		d.out(displaced)
-		displaced.displaced = true
-		d.in--
+		d.displace(displaced)
 	}
 	d.in++
 	d.line(s)
-	return displaced, true
+	return entered
+}
+
+// displace ends a session that waits for a packet. Its client is told by the end of what it reads; what it sends at that very moment
+// is read by the session, as a close over it would be a reset.
+func (d *door) displace(s *session) {
+	d.out(s)
+	s.displaced = true
+	d.in--
+	d.leaving++
+	if d.leaving > mostLeaving {
+		s.tcp.Close()
+		return
+	}
+	closeWrite(s.tcp)
+	s.tcp.SetReadDeadline(longAgo)
+}
+
+// linger tells whether there are descriptors to linger for one more connection; lingered follows when that has ended.
+func (d *door) linger() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leaving >= mostLeaving {
+		return false
+	}
+	d.leaving++
+	return true
+}
+
+func (d *door) lingered() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving--
 }
 
 // firstSilent is the first session in a line that has sent nothing which waits to be read: a burst of newcomers, or
@@ -110,7 +155,10 @@
 func (d *door) leave(s *session) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.out(s); !s.displaced {
+	d.out(s)
+	if s.displaced {
+		d.leaving--
+	} else {
 		d.in--
 	}
 }
@@ -147,9 +195,9 @@
 	return d.closing
 }
 
-// empty tells whether no session runs any more.
+// empty tells whether no session runs any more, and none is lingered for.
 func (d *door) empty() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.in == 0
+	return d.in == 0 && d.leaving == 0
 }
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -174,7 +174,7 @@
 		}
 		e.o.connectionEnded("engine", string(e.name), code, left, fault)
 	}()
-	tcp, err := net.DialTimeout("tcp", e.address, e.o.network.ConnectWithin)
+	tcp, err := e.o.dial(e.address)
 	if err != nil {
 		code = endCode(err)
 		return
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math"
+	"net"
 	"slices"
 	"sync/atomic"
 
@@ -37,6 +38,7 @@
 	module   *admission.Router
 	tasks    map[admission.TaskID]*task // taken and without a final answer
 	engines  map[admission.EngineID]carrier
+	dial     func(address string) (net.Conn, error)                // connects to an engine, within the time that the site allows
 	carrier  func(name admission.EngineID, address string) carrier // makes one for an engine
 	sessions map[uint32]*session                                   // of the MySQL front, by connection id
 	places   map[admission.EngineID]admission.Listing              // where a record is kept
@@ -50,6 +52,9 @@
 	o := &owner{clock: clock, inbox: inbox.New(), log: log, network: start.Network, site: start.Site, now: clock.Now(),
 		sessions: map[uint32]*session{}, tasks: map[admission.TaskID]*task{},
 		engines: map[admission.EngineID]carrier{}}
+	o.dial = func(address string) (net.Conn, error) {
+		return net.DialTimeout("tcp", address, o.network.ConnectWithin)
+	}
 	o.carrier = func(name admission.EngineID, address string) carrier { return newEngine(o, name, address) }
 	// Clients have what engines, which get a third, and the process itself leave of the descriptors; by the
 	// protocol they hold a third, so what they have more is for those that should not be there.
@@ -186,8 +191,12 @@
 			o.answer(now, t, ledger.Delivered, h.pages, func() { t.by.delivered(h) })
 		}
 	case admission.TimedOut, admission.Cancelled:
+		unsent := admission.Unreachable
+		if t.left {
+			unsent = admission.Moot // which tells nothing of the engine
+		}
 		if !h.carried { // its record is still on its way, so not a byte has gone out
-			how = admission.Unreachable
+			how = unsent
 			break
 		}
 		if t.by.do(h.undo); !h.withdraw() {
@@ -197,7 +206,7 @@
 			})
 			return
 		}
-		how = admission.Unreachable // it was never written
+		how = unsent
 	}
 	o.back(now, h, how, how == admission.Delivered, work, memory)
 }
@@ -246,6 +255,7 @@
 	if t.over { // its answer is on its way
 		return
 	}
+	t.left = true
 	o.module.ClientGone(now, t.id)
 	if t.out != nil { // so its patience is over
 		o.ended(now, t.out, admission.Cancelled)
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -69,7 +69,7 @@
 		p.begun = true
 		p.e.o.connections.Add(1)
 		p.e.o.engineLinks.Add(1)
-		tcp, err := net.DialTimeout("tcp", p.e.address, within)
+		tcp, err := p.e.o.dial(p.e.address)
 		if err != nil {
 			p.end(endCode(err), nil)
 			return admission.Unreachable, admission.NoReport
--- a/internal/router/query.go
+++ b/internal/router/query.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"bufio"
+	"errors"
+	"os"
 	"slices"
 	"time"
 
@@ -20,6 +23,11 @@
 		s.amiss(mysql.ErrParse, err.Error())
 		return
 	}
+	if s.o.door.shutting() {
+		s.code, s.dismissed = "stopped", true
+		s.nack(0)
+		return
+	}
 	if s.ahead() {
 		s.dismiss("pipelined", mysql.ErrParse, "a command before the answer to the last")
 		return
@@ -33,7 +41,7 @@
 	t := s.newTask(&request, class)
 	wait := time.Duration(request.WaitMS) * time.Millisecond
 	s.answerBy = time.Now().Add(wait + afterCutoff)
-	s.waiting = true
+	s.waiting, s.unanswered = true, false
 	if s.reader != nil {
 		s.reader.Read(t.statement, class, t.tables)
 	}
@@ -43,10 +51,7 @@
 		s.taken = t
 		s.o.arrived(now, t)
 	})
-	for s.waiting {
-		<-s.mail.Wake
-		s.mail.Run()
-	}
+	s.await(t)
 	for _, h := range s.made {
 		h.forget()
 	}
@@ -54,6 +59,47 @@
 	s.made = s.made[:0]
 }
 
+// await makes the calls of the mailbox until the request in hand has its answer. Meanwhile it reads ahead, so that it sees a
+// client leave, also behind commands that came early; the request of one who left is withdrawn, wherever it waits.
+func (s *session) await(t *task) {
+	for watching := true; s.waiting; s.mail.run() {
+		if !watching {
+			s.mail.wait()
+			continue
+		}
+		if !s.mail.interrupt(s.tcp) {
+			continue
+		}
+		_, err := s.r.Peek(s.r.Buffered() + 1)
+		s.mail.resume()
+		switch {
+		case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+			continue
+		case errors.Is(err, bufio.ErrBufferFull):
+			s.code = "flooded"
+		default:
+			s.code = endCode(err)
+		}
+		watching = false
+		s.o.tell(func(now admission.Time) {
+			if s.taken == t {
+				s.o.left(now, t)
+			}
+		})
+	}
+	if s.code == "flooded" {
+		s.endFlooded()
+	}
+}
+
+// endFlooded ends a session whose client sends without waiting for answers, with an error if its request had no answer yet.
+func (s *session) endFlooded() {
+	if s.unanswered {
+		s.write(mysql.Error(nil, s.number+1, mysql.ErrWrittenOff, "too much was sent before the answer"))
+	}
+	s.dismissed = true
+}
+
 // checkRequest tells what of a request doesn't fit the deployment's settings: its class has the given number, below 0 where it
 // is none of theirs.
 func checkRequest(r *mysql.Request, class int, n *deployment.Network, site *admission.Deployment) error {
@@ -173,4 +219,4 @@
 }
 
 // leave ends a task whose client stopped waiting; no answer is owed.
-func (s *session) leave() { s.waiting = false }
+func (s *session) leave() { s.waiting, s.unanswered = false, true }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,12 +3,10 @@
 package router
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"reflect"
 	"runtime/debug"
@@ -18,14 +16,9 @@
 	"magpiebank/internal/admission"
 	"magpiebank/internal/capture"
 	"magpiebank/internal/deployment"
-	"magpiebank/internal/inbox"
-	"magpiebank/internal/mysql"
 	"magpiebank/internal/resp"
 )
 
-// lastRequests is how long after the order to stop requests still come.
-const lastRequests = 700 * time.Millisecond
-
 // With is what a router has besides; what is nil it hasn't.
 type With struct {
 	Tape  *capture.Capture // records the tasks that come
@@ -74,21 +67,18 @@
 		close(idle)
 	}()
 	go f.serve(ended)
-	go o.accept(listener)
+	a := &acceptor{o: o, listener: listener, ended: make(chan struct{})}
+	go a.serve()
+	renew := func(next *deployment.Start) { o.renew(f, start, next) }
 	for stopping := false; !stopping; {
 		select {
 		case next := <-renewed:
-			o.renew(f, start, next)
+			renew(next)
 		case <-stop:
 			stopping = true
 		}
 	}
-	o.log.Info("stopping")
-	time.Sleep(lastRequests)
-	listener.Close()
-	for o.door.shut(); !o.door.empty(); {
-		time.Sleep(10 * time.Millisecond)
-	}
+	o.shutDown(a, renewed, renew)
 	o.stopped.Store(true)
 	close(ended)
 	<-idle // nothing is decided any more, and what the owner had is this goroutine's
@@ -113,38 +103,6 @@
 	o.log.Info("configuration", "code", "renewed", "engine_list", next.EngineList)
 }
 
-// accept starts a session for each client.
-func (o *owner) accept(listener net.Listener) {
-	for {
-		tcp, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil { // out of descriptors, as a rule: some are free again soon
-			o.log.Warn("accept", "error", err)
-			time.Sleep(lastLook)
-			continue
-		}
-		o.connections.Add(1)
-		s := &session{o: o, tcp: tcp, connection: rand.Uint32(), began: time.Now()}
-		displaced, ok := o.door.enter(s)
-		if displaced != nil {
-			displaced.tcp.Close()
-		}
-		if !ok { // all are in the middle of a query
-			s.write(mysql.Error(nil, 0, mysql.ErrNoRoom, "too many connections"))
-			tcp.Close()
-			o.connectionEnded("client", tcp.RemoteAddr().String(), "no_room", 0, nil)
-			continue
-		}
-		s.r, s.mail = bufio.NewReaderSize(tcp, 4096), inbox.New()
-		if o.desk != nil {
-			s.reader = o.desk.Reader()
-		}
-		go s.run()
-	}
-}
-
 // run serves a session from its first byte to its last log line. Who knows a connection's id may have its query
 // killed, so ids are not to be guessed.
 func (s *session) run() {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -21,7 +21,6 @@
 
 	"magpiebank/internal/admission"
 	"magpiebank/internal/deployment"
-	"magpiebank/internal/inbox"
 	"magpiebank/internal/mysql"
 	"magpiebank/internal/resp"
 )
@@ -899,16 +898,29 @@
 			}
 		}
 		in = append(in, &session{tcp: tcp, connection: uint32(n)})
-		switch displaced, ok := d.enter(in[n]); {
-		case displaced != nil:
+		before := displacedOf(in)
+		result := d.enter(in[n])
+		after := slices.DeleteFunc(displacedOf(in), func(s *session) bool { return slices.Contains(before, s) })
+		if len(after) == 0 {
+			fmt.Fprintf(&s.out, "client %d is let in: %v\n", n, result == entered)
+		}
+		for _, displaced := range after {
 			fmt.Fprintf(&s.out, "client %d takes the place of client %d\n", n, displaced.connection)
-		default:
-			fmt.Fprintf(&s.out, "client %d is let in: %v\n", n, ok)
 		}
 	}
 	s.end("burst")
 }
 
+// displacedOf finds the sessions that lost their places.
+func displacedOf(all []*session) (displaced []*session) {
+	for _, s := range all {
+		if s.displaced {
+			displaced = append(displaced, s)
+		}
+	}
+	return displaced
+}
+
 // No order of events brings the owner down, and nothing is kept of what is over.
 func TestAnyOrder(t *testing.T) {
 	s := play(t)
@@ -927,7 +939,7 @@
 			case 2, 3:
 				c := uint32(rng.Intn(20))
 				if o.sessions[c] == nil || o.sessions[c].taken == nil {
-					k := &session{o: o, connection: c, mail: inbox.New()}
+					k := &session{o: o, connection: c, mail: newMailbox()}
 					o.sessions[c] = k
 					k.taken = &task{id: admission.TaskID(fmt.Sprint(rng.Intn(30))), by: k, lane: rng.Intn(2), cutoff: now + admission.Second}
 					o.arrived(now, k.taken)
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"magpiebank/internal/admission"
-	"magpiebank/internal/inbox"
 	"magpiebank/internal/mysql"
 )
 
@@ -24,7 +23,7 @@
 	connection uint32
 	payload    []byte
 	number     byte // of the last packet read
-	mail       *inbox.Box
+	mail       *mailbox
 	code       string // why it ends; empty: it doesn't
 	dismissed  bool   // and it is the client's fault, who was told so
 	began      time.Time
@@ -42,7 +41,9 @@
 	// The task in hand.
 	answerBy time.Time // when a client that stopped waiting closes
 	waiting  bool
-	made     []*handOff
+	// It ended without an answer, as its client left or was taken to have left.
+	unanswered bool
+	made       []*handOff
 
 	reader Reader // nil: statements are not read
 
@@ -67,6 +68,8 @@
 	// times as long, and one that does not costs no more than fifty answers a second.
 	mostTurns = 4
 	breath    = 20 * time.Millisecond
+	// What is read ahead of a client that sends before it has its answer. The protocol has it send nothing then.
+	mostAhead = 1 << 12
 	// How long, and how much, is read from a client that was answered for the last time, as a close over unread
 	// bytes would take the answer with it.
 	lingering  = 300 * time.Millisecond
@@ -79,8 +82,11 @@
 	for s.code == "" && s.read() {
 		s.command()
 	}
-	if s.dismissed {
-		s.linger()
+	switch {
+	case s.code == "displaced":
+		s.linger(crossing) // its descriptor is wanted
+	case s.dismissed, s.code == "idle", s.code == "stopped":
+		s.linger(lingering)
 	}
 }
 
@@ -90,15 +96,24 @@
 	s.code, s.dismissed = code, true
 }
 
-// linger lets the client read its last answer.
-func (s *session) linger() {
-	if half, ok := s.tcp.(interface{ CloseWrite() error }); ok {
+// linger tells the client that nothing more comes and reads until it has closed, for a while: a close over unread bytes would
+// reset the connection and take the last answer with it. What is read now goes nowhere.
+func (s *session) linger(most time.Duration) {
+	closeWrite(s.tcp)
+	s.tcp.SetReadDeadline(time.Now().Add(most))
+	io.CopyN(io.Discard, s.r, mostLinger)
+}
+
+// closeWrite ends what a connection's peer reads.
+func closeWrite(tcp net.Conn) {
+	if half, ok := tcp.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
 	}
-	s.tcp.SetReadDeadline(time.Now().Add(lingering))
-	io.CopyN(io.Discard, s.r, mostLinger)
 }
 
+// newReader buffers what a client sends.
+func newReader(tcp net.Conn) *bufio.Reader { return bufio.NewReaderSize(tcp, mostAhead) }
+
 // read takes the next packet's payload in.
 func (s *session) read() bool {
 	if rest := breath - time.Since(s.turnedAway); rest > 0 && s.turns >= mostTurns {
@@ -107,16 +122,16 @@
 	s.shrink()
 	s.o.door.rest(s)
 	head, err := s.r.Peek(mysql.HeadSize)
+	if errors.Is(err, os.ErrDeadlineExceeded) && speaks(s.tcp) { // it came as the time ran out, or while this process stood still
+		s.tcp.SetReadDeadline(time.Now().Add(lastLook))
+		head, err = s.r.Peek(mysql.HeadSize)
+	}
 	if !s.o.door.work(s) {
 		s.code = "displaced"
 		return false
 	}
 	if err != nil {
-		if s.code = endCode(err); errors.Is(err, os.ErrDeadlineExceeded) {
-			if s.code = "idle"; s.o.door.shutting() {
-				s.code = "stopped"
-			}
-		}
+		s.endUnread(err)
 		return false
 	}
 	length, number := mysql.Head(head)
@@ -134,13 +149,36 @@
 		}
 		n, err := s.r.Read(s.payload[len(s.payload):min(length, cap(s.payload))])
 		if s.payload = s.payload[:len(s.payload)+n]; err != nil {
-			s.code = "cut_short"
+			s.endCutShort(err)
 			return false
 		}
 	}
 	return true
 }
 
+// endUnread ends a session that waited for a packet, of which nothing or less than its head came.
+func (s *session) endUnread(err error) {
+	switch {
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		s.code = endCode(err)
+	case s.o.door.shutting():
+		s.code = "stopped"
+	case s.r.Buffered() > 0:
+		s.dismiss("idle", mysql.ErrParse, "the head of a packet was cut short")
+	default:
+		s.code = "idle"
+	}
+}
+
+// endCutShort ends a session of which a begun packet did not become whole.
+func (s *session) endCutShort(err error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) { // the client is gone
+		s.code = "cut_short"
+		return
+	}
+	s.dismiss("cut_short", mysql.ErrParse, "a packet was cut short")
+}
+
 // shrink lets a large statement go, with its part of the memory for such.
 func (s *session) shrink() {
 	if cap(s.payload) > someStatement {
--- /dev/null
+++ b/internal/router/shutdown.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"time"
+
+	"magpiebank/internal/deployment"
+)
+
+// The steps of a stop. The protocol lets connections and requests come for lastRequests after the order; they are served as ever.
+// What is read later is refused and never sent on, sessions without a request end, and the others once they have their answers.
+const (
+	lastRequests = 700 * time.Millisecond
+	// How often a stop looks whether the last session has ended.
+	stopPace = 10 * time.Millisecond
+)
+
+// shutDown stops taking requests and returns once all that were taken are answered. A new configuration still counts meanwhile:
+// it may name the address from which drains are told.
+func (o *owner) shutDown(a *acceptor, renewed <-chan *deployment.Start, renew func(*deployment.Start)) {
+	o.log.Info("stopping")
+	wait := func(until <-chan time.Time) {
+		for {
+			select {
+			case next := <-renewed:
+				renew(next)
+			case <-until:
+				return
+			}
+		}
+	}
+	wait(time.After(lastRequests))
+	o.door.shut()
+	for !o.door.empty() {
+		wait(time.After(stopPace))
+	}
+	a.stop() // whom the system had accepted is turned away
+	for !o.door.empty() {
+		wait(time.After(stopPace))
+	}
+}
--- /dev/null
+++ b/internal/router/shutdown_test.go
@@ -0,0 +1,212 @@
+package router
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// queryPacket is a request as it lies on the wire.
+func queryPacket(id string) []byte {
+	sql := "\x03/* class=look,id=00000000000000" + id + ",wait=5000 */ SELECT a FROM t_7.x"
+	return append([]byte{byte(len(sql)), 0, 0, 0}, sql...)
+}
+
+// loginPacket is a login as it lies on the wire.
+func loginPacket() []byte {
+	login := append(append([]byte{0, 0x82, 0, 0}, make([]byte, 28)...), "app\x00\x00"...)
+	return append([]byte{byte(len(login)), 0, 0, 1}, login...)
+}
+
+// ends reads until the connection ends and tells how; it was reset if that is no io.EOF.
+func (c *client) ends() error {
+	c.c.SetReadDeadline(time.Now().Add(patience))
+	for {
+		if _, err := c.r.ReadByte(); err != nil {
+			return err
+		}
+	}
+}
+
+// What the system had accepted when the router stops accepting is answered, and not reset.
+func TestStopAnswersWhatTheSystemAccepted(t *testing.T) {
+	s := play(t)
+	defer s.close()
+	listener := s.listen()
+	const waiting = 5
+	var clients []*client
+	for range waiting { // nobody accepts yet
+		c, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.Write(append(loginPacket(), queryPacket("aa")...))
+		clients = append(clients, &client{s: s, c: c, r: bufio.NewReader(c)})
+	}
+	s.o.door.shut()
+	a := &acceptor{o: s.o, listener: listener, ended: make(chan struct{})}
+	listener.(*net.TCPListener).SetDeadline(longAgo) // the stop comes before the first accept
+	go a.serve()
+	a.stop()
+	for i, c := range clients {
+		c.c.SetReadDeadline(time.Now().Add(patience))
+		if p := c.packet(); p[0] != 0xff || int(p[1])|int(p[2])<<8 != 1040 {
+			t.Errorf("client %d got %q", i, p)
+		}
+		if err := c.ends(); err != io.EOF {
+			t.Errorf("client %d: %v", i, err)
+		}
+	}
+}
+
+// A request that is read once the router stops is refused and never sent on; one in hand is answered.
+func TestStopRefusesWhatIsReadLater(t *testing.T) {
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	defer s.close()
+	a := s.client()
+	a.look("aa")
+	k := e.hears()
+	s.o.door.shut()
+	a.look("bb") // on its way while the other is in hand
+	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	a.gets()
+	a.gets()
+	if err := a.ends(); err != io.EOF {
+		t.Errorf("the session ended with %v", err)
+	}
+	if len(e.heard) > 0 {
+		t.Errorf("the engine heard %q", (<-e.heard).parts)
+	}
+	s.logged("code=stopped")
+	s.end("stop refuses")
+}
+
+// A request that crosses the end of its session is read, so that the connection is not reset under what went before.
+func TestEndOfSessionIsNoReset(t *testing.T) {
+	for what, end := range map[string]func(s *stage){
+		"stop": func(s *stage) { s.o.door.shut() },
+		"displaced": func(s *stage) {
+			s.o.door.mu.Lock()
+			defer s.o.door.mu.Unlock()
+			s.o.door.displace(s.o.door.known.Front().Value.(*session))
+		},
+	} {
+		t.Run(what, func(t *testing.T) {
+			e := newEngineStand(t, "e1")
+			s := play(t, e)
+			defer s.close()
+			a := s.client()
+			a.send(0, []byte{0x0e})
+			a.packet()
+			eventually(t, "the session rests", func() bool {
+				s.o.door.mu.Lock()
+				defer s.o.door.mu.Unlock()
+				return s.o.door.known.Len() == 1
+			})
+			end(s)
+			if err := a.ends(); err != io.EOF {
+				t.Fatalf("the session ended with %v", err)
+			}
+			for _, id := range []string{"aa", "ab"} { // a reset answers the first and fails the second
+				if _, err := a.c.Write(queryPacket(id)); err != nil {
+					t.Errorf("the connection was reset: %v", err)
+				}
+			}
+			a.c.(*net.TCPConn).CloseWrite()
+			s.logged("side=client")
+			if err := a.ends(); err != io.EOF {
+				t.Errorf("the connection ended with %v", err)
+			}
+			if len(e.heard) > 0 {
+				t.Errorf("the engine heard %q", (<-e.heard).parts)
+			}
+		})
+	}
+}
+
+// Who is turned away hears why, though its login and a query lie unread.
+func TestTurnedAwayIsNoReset(t *testing.T) {
+	s := play(t)
+	defer s.close()
+	s.o.door.mu.Lock()
+	s.o.door.room = 1
+	s.o.door.in = 1 // one in the middle of a query
+	s.o.door.mu.Unlock()
+	listener := s.listen()
+	c, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write(append(loginPacket(), queryPacket("aa")...))
+	tcp, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the login is there", func() bool { return speaks(tcp) })
+	(&acceptor{o: s.o}).welcome(tcp)
+	k := &client{s: s, c: c, r: bufio.NewReader(c)}
+	if p := k.packet(); p[0] != 0xff || int(p[1])|int(p[2])<<8 != 1040 {
+		t.Errorf("the client got %q", p)
+	}
+	if err := k.ends(); err != io.EOF {
+		t.Errorf("the connection ended with %v", err)
+	}
+	s.o.door.mu.Lock()
+	s.o.door.in = 0
+	s.o.door.mu.Unlock()
+}
+
+// A new configuration counts during a stop: drains are told at the address that it names.
+func TestReloadDuringAStop(t *testing.T) {
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	defer s.close()
+	a := s.client()
+	a.look("aa")
+	k := e.hears()
+	close(s.stop)
+	s.logged("stopping")
+	select {
+	case s.renewed <- s.start:
+	case <-time.After(patience):
+		t.Fatal("a new configuration is not taken during a stop")
+	}
+	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	a.gets()
+	<-s.ended
+	if !strings.Contains(s.log.String(), "code=renewed") {
+		t.Errorf("log:\n%s", s.log.String())
+	}
+}
+
+// While a stop waits for a request in hand, who connects hears that there is no room, and nothing of it is taken.
+func TestConnectDuringAStop(t *testing.T) {
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	defer s.close()
+	a := s.client()
+	a.look("aa")
+	k := e.hears()
+	close(s.stop)
+	eventually(t, "the door is shut", s.o.door.shutting)
+	b := s.dial()
+	if p := b.packet(); p[0] != 0xff || int(p[1])|int(p[2])<<8 != 1040 {
+		t.Errorf("the newcomer got %q", p)
+	}
+	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	a.gets()
+	<-s.ended
+	var n int
+	s.o.door.mu.Lock()
+	n = s.o.door.in + s.o.door.leaving
+	s.o.door.mu.Unlock()
+	if n != 0 {
+		t.Errorf("%d connections left", n)
+	}
+}
--- a/internal/router/task.go
+++ b/internal/router/task.go
@@ -52,4 +52,5 @@
 	held     bool  // in a class, with no hand-off out
 	place    Place // as the peers know it
 	over     bool  // it has its final answer
+	left     bool  // nobody waits for it
 }
