What waits for a connection is withdrawn by drains and windows; endless answers end

Now what is unwritten is withdrawn when its engine drains, goes or gets another address (TestDrainWhileAConnectionComesUp, TestDrainBeforeTheSecondWrite). - a retry of a deduplicated request was written after the engines' window if its connection took long (link.do). The module names the time from which an attempt must not be sent (handOff, sendBy = doubtAt + Remember; 4 lines), link.do holds it. Kept traces of the module say 'before N ms' on such retries, else unchanged. - a write refused whole, as the connection was broken before, counted as begun: requests that may not run twice were failed for it. - answers without an end: notes, pages that nobody asked for, the same page, answers of nobody went on for good; an array that grew byte by byte moved its own last look on for ever (link.read). Ruled out: an answer of the old list after a move (events are numbered and told once, whichever list tells them).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -519,7 +519,11 @@
 		// an engine that stops work at a time-out is freed for others. Guards against jams that feed themselves.
 		t.until = min(t.cutoff, max(t.quoted, r.now+1)+Time(l.LateShare*float64(t.cutoff-t.quoted)))
 	}
-	r.host.HandOff(t.id, e.Engine, t.until-r.now)
+	sendBy := Time(0)
+	if t.mayRan && l.Effect == Deduplicated {
+		sendBy = t.doubtAt + l.Remember // a connection may take longer to come up than engines remember
+	}
+	r.host.HandOff(t.id, e.Engine, t.until-r.now, sendBy)
 	return true
 }
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -590,7 +590,7 @@
 	//   3600 ms  k arrives in lane 3
 	//   3600 ms    -> hand k to e1, patience 10000 ms
 	//   3600 ms  k ends: timed out
-	//   3600 ms    -> hand k to e2, patience 10000 ms
+	//   3600 ms    -> hand k to e2, patience 10000 ms, before 6600 ms
 	// <nil>
 	// 500 ms later: run 120 ms by 30 answers, further hand-offs allowed false, key rests true
 	//   e1 bound 8.0, distrust 0.0, busy 0.44, room while cold true
@@ -629,7 +629,7 @@
 
 type quiet struct{}
 
-func (quiet) HandOff(TaskID, EngineID, Time)                 {}
+func (quiet) HandOff(TaskID, EngineID, Time, Time)           {}
 func (quiet) Cancel(TaskID, int)                             {}
 func (quiet) Nack(TaskID, Time)                              {}
 func (quiet) WriteOff(TaskID)                                {}
--- a/internal/admission/host.go
+++ b/internal/admission/host.go
@@ -3,8 +3,9 @@
 // Host is what the decisions act on. It is handed over once, at start; every call takes effect at the
 // time of the event that is being handled.
 type Host interface {
-	// HandOff sends a task to an engine; it ends unanswered after patience, and at the cut-off at the latest.
-	HandOff(task TaskID, engine EngineID, patience Time)
+	// HandOff sends a task to an engine; it ends unanswered after patience, and at the cut-off at the latest. From sendBy on
+	// (0: no limit) it must not be sent any more: it ends as moot then.
+	HandOff(task TaskID, engine EngineID, patience, sendBy Time)
 	// Cancel calls off the n-th hand-off of a task.
 	Cancel(task TaskID, n int)
 	// Nack is a final answer: trying again is harmless, best after comeBack (0: no advice).
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -22,8 +22,12 @@
 	return strings.TrimSuffix(fmt.Sprintf("%.1f", float64(t)/float64(Millisecond)), ".0") + " ms"
 }
 
-func (s *script) HandOff(t TaskID, e EngineID, patience Time) {
-	s.say("  -> hand %s to %s, patience %s", t, e, ms(patience))
+func (s *script) HandOff(t TaskID, e EngineID, patience, sendBy Time) {
+	by := ""
+	if sendBy > 0 {
+		by = ", before " + ms(sendBy)
+	}
+	s.say("  -> hand %s to %s, patience %s%s", t, e, ms(patience), by)
 }
 func (s *script) Cancel(t TaskID, n int) { s.say("  -> cancel %s, hand-off %d", t, n) }
 func (s *script) Nack(t TaskID, comeBack Time) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -30,17 +30,17 @@
 
 type nobody struct{}
 
-func (nobody) HandOff(admission.TaskID, admission.EngineID, admission.Time)        {}
-func (nobody) Cancel(admission.TaskID, int)                                        {}
-func (nobody) Nack(admission.TaskID, admission.Time)                               {}
-func (nobody) WriteOff(admission.TaskID)                                           {}
-func (nobody) Terms(admission.TaskID, float64, int)                                {}
-func (nobody) Probe(admission.EngineID)                                            {}
-func (nobody) Subscribe()                                                          {}
-func (nobody) ColdRoom(admission.EngineID, float64) (room, shared bool)            { return false, false }
-func (nobody) Wake(admission.Time)                                                 {}
-func (nobody) Say(string)                                                          {}
-func (nobody) Tell(admission.EngineID, admission.Sight, admission.Report, float64) {}
+func (nobody) HandOff(admission.TaskID, admission.EngineID, admission.Time, admission.Time) {}
+func (nobody) Cancel(admission.TaskID, int)                                                 {}
+func (nobody) Nack(admission.TaskID, admission.Time)                                        {}
+func (nobody) WriteOff(admission.TaskID)                                                    {}
+func (nobody) Terms(admission.TaskID, float64, int)                                         {}
+func (nobody) Probe(admission.EngineID)                                                     {}
+func (nobody) Subscribe()                                                                   {}
+func (nobody) ColdRoom(admission.EngineID, float64) (room, shared bool)                     { return false, false }
+func (nobody) Wake(admission.Time)                                                          {}
+func (nobody) Say(string)                                                                   {}
+func (nobody) Tell(admission.EngineID, admission.Sight, admission.Report, float64)          {}
 func (o *owner) tell(clock wall) func(func(admission.Time, *admission.Router)) {
 	return func(call func(admission.Time, *admission.Router)) {
 		o.mu.Lock()
--- a/internal/route/desk_test.go
+++ b/internal/route/desk_test.go
@@ -32,7 +32,7 @@
 	fmt.Fprintf(&s.out, "%6d ms  %s\n", s.at/ms, fmt.Sprintf(format, args...))
 }
 
-func (s *script) HandOff(t admission.TaskID, e admission.EngineID, _ admission.Time) {
+func (s *script) HandOff(t admission.TaskID, e admission.EngineID, _, _ admission.Time) {
 	s.say("  -> hand %s to %s", t, e)
 	if n := s.class[t]; n > 0 {
 		s.desk.Sent(n, 2, 100)
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -47,7 +47,7 @@
 		body = parts[3]
 	}
 	e.mu.Lock()
-	l.asked, l.heard = time.Time{}, time.Now()
+	l.asked, l.heard, l.begun = time.Time{}, time.Now(), time.Time{}
 	h := l.open[task]
 	done := h == nil || h.done
 	undone := !done && h.undone
@@ -55,18 +55,22 @@
 	word := string(parts[1])
 	switch {
 	case done: // it came too late, once more, or for nobody
-		return true
+		return l.passOver()
 	case undone: // only the word that it is known no more counts
 		if word == "failed" {
 			l.ended(h, admission.Errored)
+			return true
 		}
-		return true
+		return l.passOver()
 	}
 	if word != "news" && word != "page" && e.o.network.AnswersTell { // the owner reads it once the end is told
 		h.report = resp.Report(fields)
 	}
 	switch word {
 	case "news":
+		if !h.mayNote(time.Now(), time.Duration(e.o.site.Pace)*tenth) {
+			return false
+		}
 		news, value, ok := resp.News(fields)
 		if ok {
 			e.o.tell(func(now admission.Time) { e.o.module.Noted(now, task, h.n, news, value) })
@@ -76,7 +80,7 @@
 	case "page":
 		n, err := strconv.Atoi(string(resp.Field(fields, "page")))
 		if h.pages == nil || err == nil && (n < 1 || n >= len(h.pages)) {
-			return true // not one that it was asked for
+			return l.passOver() // not one that it was asked for
 		}
 		return err == nil && l.keep(h, n, body)
 	case "full":
@@ -98,10 +102,36 @@
 	mostPages  = 64 // more than the longest result has, which pages break at rows
 )
 
+// Whole answers without an end are no answers either.
+const (
+	// How many answers in a row that nobody waits for are passed over: the pages of all results that a connection's requests may
+	// have asked for and given up meanwhile.
+	mostUnasked = 16 * mostPages
+	// How many notes an attempt may bring at once, and how many in the time in which one is usual.
+	mostNotes    = 64
+	notesPerPace = 8
+)
+
+// passOver takes in an answer that nobody waits for. It tells whether the connection can still be believed.
+func (l *link) passOver() bool {
+	l.unasked++
+	return l.unasked <= mostUnasked
+}
+
+// mayNote counts a note and tells whether an engine may bring so many, where one each pace is usual.
+func (h *handOff) mayNote(now time.Time, pace time.Duration) bool {
+	h.notes++
+	most := mostNotes
+	if pace > 0 {
+		most += notesPerPace * int(now.Sub(h.sent)/pace)
+	}
+	return h.notes <= most
+}
+
 // first keeps the first page of a result and asks for the others at once.
 func (l *link) first(h *handOff, fields, body []byte) bool {
 	if h.pages != nil {
-		return true // once is enough
+		return l.passOver() // once is enough
 	}
 	all, err := strconv.Atoi(string(resp.Field(fields, "pages")))
 	work, ok := resp.Amount(fields, "cost")
@@ -123,7 +153,7 @@
 				asks = append(asks, resp.Array(nil, "page", string(h.task), strconv.Itoa(n))...)
 			}
 			return net.Buffers{asks}
-		})
+		}, nothing)
 	}
 	return true
 }
@@ -131,8 +161,9 @@
 // keep puts a page into its place, if it is one. With the last one missing the result is whole.
 func (l *link) keep(h *handOff, n int, body []byte) bool {
 	if h.pages[n] != nil {
-		return true
+		return l.passOver()
 	}
+	l.unasked = 0
 	if h.size += len(body); len(body) > mostPage || h.size > mostResult || !mysql.WholeRows(body) {
 		return false
 	}
@@ -145,6 +176,7 @@
 
 // ended takes a hand-off that has its last answer off the connection.
 func (l *link) ended(h *handOff, how admission.Outcome) {
+	l.unasked = 0
 	l.e.mu.Lock()
 	l.over(h)
 	l.e.mu.Unlock()
--- /dev/null
+++ b/internal/router/attempt_test.go
@@ -0,0 +1,235 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/resp"
+)
+
+// onDial has the next connections to engines made by a hook; it must come before any engine is listed.
+func (s *stage) onDial(hook func(address string, dial func(string) (net.Conn, error)) (net.Conn, error)) {
+	s.o.tell(func(admission.Time) {
+		dial := s.o.dial
+		s.o.dial = func(address string) (net.Conn, error) { return hook(address, dial) }
+	})
+	s.sync()
+}
+
+// lists has the owner take in an engine's state at once.
+func (s *stage) lists(e *standEngine, state admission.State) {
+	e.s = s
+	s.o.tell(func(now admission.Time) {
+		s.o.listed(now, admission.Changes, listing(e, state), []string{e.l.Addr().String()})
+	})
+	s.sync()
+}
+
+func listing(e *standEngine, state admission.State) []admission.Listing {
+	return []admission.Listing{{Engine: admission.EngineID(e.name), State: state}}
+}
+
+// slowDial holds the first dial to an engine back until goOn is closed.
+func (s *stage) slowDial(e *standEngine) (dialled chan bool, goOn chan bool) {
+	dialled, goOn = make(chan bool, 1), make(chan bool)
+	var held atomic.Bool
+	s.onDial(func(address string, dial func(string) (net.Conn, error)) (net.Conn, error) {
+		if address == e.l.Addr().String() && held.CompareAndSwap(false, true) {
+			dialled <- true
+			<-goOn
+		}
+		return dial(address)
+	})
+	return dialled, goOn
+}
+
+// An engine is told to drain, or is gone, while an attempt waits for a connection to it: that goes elsewhere, and not a byte of it
+// goes to the engine once the connection is up.
+func TestDrainWhileAConnectionComesUp(t *testing.T) {
+	for state, name := range map[admission.State]string{admission.Draining: "drains", admission.Gone: "gone"} {
+		t.Run(name, func(t *testing.T) {
+			e, f := newEngineStand(t, "e1"), newEngineStand(t, "e2")
+			s := play(t)
+			defer s.close()
+			dialled, goOn := s.slowDial(e)
+			s.lists(e, admission.Live)
+			a := s.client()
+			a.load("aa") // which may not run twice: so it was known that it had not
+			<-dialled
+			s.lists(f, admission.Live)
+			s.lists(e, state)
+			f.says(f.hears(), "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+			a.gets()
+			close(goOn)
+			s.onlyHears(f, "bb")
+			if state == admission.Draining { // the connection is up by now, and can be used again
+				s.lists(e, admission.Live)
+				s.lists(f, admission.Draining)
+				s.onlyHears(e, "cc")
+			}
+		})
+	}
+}
+
+// brokenConn is a connection that the other side may have reset: then the write of an attempt is refused whole.
+type brokenConn struct {
+	net.Conn
+	breaks func() bool
+}
+
+func (c *brokenConn) Write(b []byte) (int, error) {
+	if strings.Contains(string(b), "do\r\n") && c.breaks() {
+		return 0, &net.OpError{Op: "write", Err: syscall.ECONNRESET}
+	}
+	return c.Conn.Write(b)
+}
+
+// breakFirst has the first write of an attempt be refused, right after before is called.
+func (s *stage) breakFirst(before func()) {
+	var broken atomic.Bool
+	breaks := func() bool {
+		if broken.Swap(true) {
+			return false
+		}
+		before()
+		return true
+	}
+	s.onDial(func(address string, dial func(string) (net.Conn, error)) (net.Conn, error) {
+		tcp, err := dial(address)
+		if err != nil {
+			return nil, err
+		}
+		return &brokenConn{Conn: tcp, breaks: breaks}, nil
+	})
+}
+
+// A connection that was broken before the first byte proves that nothing ran: also what must not run twice goes out again.
+func TestBrokenBeforeTheFirstByte(t *testing.T) {
+	e := newEngineStand(t, "e1")
+	s := play(t)
+	defer s.close()
+	s.breakFirst(func() {})
+	s.lists(e, admission.Live)
+	a := s.client()
+	a.load("aa")
+	e.says(e.hears(), "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	a.gets()
+	if !strings.Contains(s.out.String(), "client gets: rows") {
+		t.Error(s.out.String())
+	}
+}
+
+// The drain comes between the write that was refused and the second try on another connection: there is none.
+func TestDrainBeforeTheSecondWrite(t *testing.T) {
+	e, f := newEngineStand(t, "e1"), newEngineStand(t, "e2")
+	s := play(t)
+	defer s.close()
+	s.breakFirst(func() {
+		s.lists(f, admission.Live)
+		s.lists(e, admission.Draining)
+	})
+	s.lists(e, admission.Live)
+	a := s.client()
+	a.load("aa")
+	select {
+	case h := <-e.heard:
+		t.Fatalf("the draining engine heard %q", h.parts)
+	case h := <-f.heard:
+		f.says(h.c, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	}
+	a.gets()
+	if len(e.heard) > 0 || !strings.Contains(s.out.String(), "client gets: rows") {
+		t.Errorf("%s\nthe draining engine heard %d", s.out.String(), len(e.heard))
+	}
+}
+
+// A deduplicated request must not reach an engine after the time for which engines remember it, however long the connection takes.
+func TestWindowEndsWhileAConnectionComesUp(t *testing.T) {
+	e, f := newEngineStand(t, "e1"), newEngineStand(t, "e2")
+	s := playSettings(t, customer)
+	defer s.close()
+	dialled, goOn := s.slowDial(f)
+	s.lists(e, admission.Live)
+	a := s.client()
+	a.asks("/* class=load,id=00000000000000aa,wait=20000,once=" + token + " */ INSERT INTO t_7.x SELECT * FROM staging.y")
+	k := e.hears()
+	s.lists(f, admission.Live)
+	s.lists(e, admission.Draining)
+	k.Close()
+	<-dialled
+	s.pass(2 * admission.Second) // the window
+	close(goOn)
+	a.gets()
+	if !strings.Contains(s.out.String(), "client gets: error 1203") { // all engines dropped repeats, so a new request is harmless
+		t.Error(s.out.String())
+	}
+	if len(f.heard) > 0 {
+		t.Errorf("the engine heard %q", (<-f.heard).parts)
+	}
+}
+
+// Answers without an end, whole or in part, end their connection, and the request goes out again.
+func TestEndlessAnswers(t *testing.T) {
+	const id = "00000000000000aa"
+	forever := func(next func(n int) []byte) func(k net.Conn) {
+		return func(k net.Conn) {
+			for n := 0; ; n++ {
+				if _, err := k.Write(next(n)); err != nil {
+					return
+				}
+			}
+		}
+	}
+	for _, c := range []struct {
+		what, code string
+		flood      func(k net.Conn)
+	}{
+		{"notes", "bad_answer", forever(func(n int) []byte { return resp.Array(nil, id, "news", fmt.Sprintf("res=so_far,v=0.%d", n%9+1), "") })},
+		{"answers of nobody", "bad_answer", forever(func(n int) []byte {
+			return resp.Array(nil, fmt.Sprintf("f%015x", n), "data", "pages=1,cost=1,need=1", "a\tb\tc\n")
+		})},
+		{"pages of no result", "bad_answer", forever(func(n int) []byte { return resp.Array(nil, id, "page", "page=1", "a\tb\tc\n") })},
+		{"the same page", "bad_answer", func(k net.Conn) {
+			k.Write(resp.Array(nil, id, "data", "pages=2,cost=1,need=1", "a\tb\tc\n"))
+			forever(func(n int) []byte { return resp.Array(nil, id, "data", "pages=2,cost=1,need=1", "a\tb\tc\n") })(k)
+		}},
+		{"one array that grows", "cut_short", func(k net.Conn) {
+			io.WriteString(k, "*4\r\n$16\r\n"+id+"\r\n$4\r\ndata\r\n$7\r\npages=1\r\n$5000\r\n")
+			for {
+				if _, err := k.Write([]byte("a")); err != nil {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		}},
+	} {
+		t.Run(c.what, func(t *testing.T) {
+			e := newEngineStand(t, "e1")
+			s := play(t, e)
+			defer s.close()
+			a := s.client()
+			a.look("aa")
+			k := e.hears()
+			go c.flood(k)
+			s.logged("code=" + c.code)
+			for { // pages of the first try may have been asked for
+				h := <-e.heard
+				if h.parts[0] == "do" {
+					e.says(h.c, id, "data", "pages=1,cost=120,need=64", "d\te\tf\n")
+					break
+				}
+			}
+			a.gets()
+			if !strings.Contains(s.out.String(), "client gets: rows") {
+				t.Error(s.out.String())
+			}
+		})
+	}
+}
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -65,6 +65,9 @@
 // it along. It is one that was idle, the last used of those; else a new one; else the one with the least on it.
 // A task goes out once on a connection, so that no copy of an answer is taken for a later hand-off's.
 func (e *engine) send(h *handOff) {
+	if h.state.Load() == withdrawn {
+		return
+	}
 	e.mu.Lock()
 	var best *link
 	longest := e.fresh()
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -21,8 +21,13 @@
 
 	mu      sync.Mutex
 	address string
-	known   *sheet.Sheet // events of a new configuration, to be told; nil: none
-	leave   func()       // ends the connection at hand
+	known   *sheet.Sheet  // events of a new configuration, to be told; nil: none
+	leave   func()        // ends the connection at hand
+	moved   chan struct{} // rung by a new configuration
+}
+
+func newFollower(o *owner, address string) *follower {
+	return &follower{o: o, address: address, moved: make(chan struct{}, 1)}
 }
 
 // move goes on at another address, with the events that a new configuration knows.
@@ -33,6 +38,10 @@
 	if f.address = address; f.leave != nil {
 		f.leave()
 	}
+	select {
+	case f.moved <- struct{}{}:
+	default: // it is rung already
+	}
 }
 
 // mostAmiss is how often an event that can't be read is asked for again before the entries that can are taken:
@@ -65,7 +74,7 @@
 const pollWait = time.Second
 
 // serve polls until stop is closed. A connection that brought something and ended is followed by the next at
-// once, as what the list could not finish counts as told soon; others wait as long as one may take to come up.
+// once, as what the list could not finish counts as told soon; others begin no more often than one may take to come up.
 func (f *follower) serve(stop <-chan struct{}) {
 	for {
 		select { // a wait of nothing and the stop may come together
@@ -81,21 +90,27 @@
 		if known != nil {
 			f.tell(known, admission.Whole)
 		}
+		begun := time.Now()
 		useful := f.connect(life, address, stop)
 		moved := life.Err() != nil
 		leave()
-		wait := f.o.network.ConnectWithin
-		if useful || moved {
-			wait = 0
+		wait := time.Duration(0)
+		if !useful && !moved {
+			wait = restBefore(time.Since(begun), f.o.network.ConnectWithin)
 		}
 		select {
 		case <-stop:
 			return
+		case <-f.moved: // whose new address and events don't wait for the old one
 		case <-time.After(wait):
 		}
 	}
 }
 
+// restBefore is how long to wait before the next connection, where the last one that brought nothing took so long: connections
+// begin no more often than one may take to come up. A longer rest would be added to what drains are told late.
+func restBefore(took, within time.Duration) time.Duration { return max(0, within-took) }
+
 // lull tells which of many failures in a row are worth a line: the first, and then ever fewer.
 type lull struct {
 	rest time.Duration // until the next line, doubled each time
--- a/internal/router/handoff.go
+++ b/internal/router/handoff.go
@@ -15,7 +15,8 @@
 type handOff struct {
 	of        *task
 	to        carrier
-	task      admission.TaskID // of's id
+	engine    admission.EngineID // to's
+	task      admission.TaskID   // of's id
 	n         int
 	over      bool
 	again     bool              // it was never written on its first connection
@@ -25,6 +26,7 @@
 	statement []byte
 	token     []byte // by which engines tell a repeat; empty: none
 	patience  admission.Time
+	sendBy    admission.Time // from then on it must not be written; 0: no limit
 	memory    float64
 	state     atomic.Int32
 	carried   bool // the owner's: it was handed to its carrier
@@ -42,6 +44,7 @@
 	done    bool     // nothing that comes for it counts any more
 	pages   [][]byte // of the result, once its first page is there
 	missing int
+	notes   int // that came; its connection's reader counts them
 	size    int
 	work    admission.Time // as its first page tells, and the memory in MB
 	needs   float64
@@ -61,6 +64,9 @@
 // undo gives a hand-off up, or the pages of its result that are still to come.
 func (h *handOff) undo() {
 	l := h.link
+	if l == nil { // it was withdrawn before it had a connection
+		return
+	}
 	l.e.mu.Lock()
 	open := l.open[h.task] == h && !h.undone && !h.done && h.state.Load() == written
 	if h.undone = true; open && l.asked.IsZero() {
@@ -77,13 +83,16 @@
 	if open { // nothing answers this, but a page that the engine doesn't know is failed: then it has heard it
 		l.write(func() net.Buffers {
 			return net.Buffers{resp.Array(nil, word, string(h.task)), resp.Array(nil, "page", string(h.task), "1")}
-		})
+		}, nothing)
 	}
 }
 
 // bump gives a hand-off another rank.
 func (h *handOff) bump(rank int) {
 	l := h.link
+	if l == nil {
+		return
+	}
 	l.e.mu.Lock()
 	h.rank = rank
 	open := l.open[h.task] == h && !h.done && h.state.Load() == written
@@ -96,6 +105,9 @@
 // forget drops what was kept to tell late answers; the task is over, and its id doesn't come again.
 func (h *handOff) forget() {
 	l := h.link
+	if l == nil {
+		return
+	}
 	l.e.mu.Lock()
 	if l.open[h.task] == h {
 		l.over(h)
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -8,9 +8,9 @@
 // host is what the module's decisions act on.
 type host struct{ o *owner }
 
-func (a host) HandOff(id admission.TaskID, name admission.EngineID, patience admission.Time) {
+func (a host) HandOff(id admission.TaskID, name admission.EngineID, patience, sendBy admission.Time) {
 	t, e := a.o.tasks[id], a.o.engines[name]
-	h := &handOff{of: t, to: e, task: id, n: t.tries, lane: t.name, statement: t.statement, token: t.token, patience: patience,
+	h := &handOff{of: t, to: e, engine: name, task: id, n: t.tries, lane: t.name, statement: t.statement, token: t.token, patience: patience, sendBy: sendBy,
 		memory: t.memory, rank: t.rank, report: admission.NoReport}
 	t.tries++
 	t.out = h
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -24,7 +24,9 @@
 	used    time.Time
 	heard   time.Time // when an answer came, or the first hand-off went out on it
 	asked   time.Time // when an undo went out; zero once anything is heard
-	begun   time.Time // when an answer was there in part; zero: none is
+	begun   time.Time // when the first part of an answer came that isn't whole yet; zero: there is none
+	grown   time.Time // and when the last part came
+	unasked int       // answers in a row that nobody waits for
 	writing sync.Mutex
 }
 
@@ -34,6 +36,10 @@
 	return !l.asked.IsZero() && time.Since(l.asked) > l.e.o.network.ConnectWithin
 }
 
+// mostPieces is how many times the wait for one part of an answer the whole of it may take, so that one that grows without an
+// end is ended.
+const mostPieces = 4
+
 // arm sets the time until which the connection may bring nothing. An answer that is there in part, or the word that
 // an undo was heard, has as long as a connection to come up. A hand-off that isn't over brings notes at the engine's
 // pace, which scatters by half of it: after twice the pace its answer is lost, and with it the connection. Else it
@@ -56,7 +62,8 @@
 	pace := time.Duration(l.e.o.site.Pace) * tenth
 	sooner(l.heard, 2*pace, l.out > 0 && pace > 0)
 	sooner(l.asked, n.ConnectWithin, !l.asked.IsZero())
-	sooner(l.begun, n.ConnectWithin, !l.begun.IsZero())
+	sooner(l.grown, n.ConnectWithin, !l.begun.IsZero())
+	sooner(l.begun, mostPieces*n.ConnectWithin, !l.begun.IsZero())
 	l.tcp.SetReadDeadline(by)
 }
 
@@ -64,8 +71,11 @@
 	l.e.mu.Lock()
 	rank := h.rank
 	l.e.mu.Unlock()
-	passed := false
+	passed, late := false, false
 	l.write(func() net.Buffers {
+		if late = h.sendBy > 0 && l.e.o.clock.Now() >= h.sendBy; late {
+			return nil
+		}
 		if h.by != 0 && !l.e.o.desk.Pass(h.by, h.task) {
 			l.barred(h)
 			return nil
@@ -76,14 +86,17 @@
 		return resp.Do(make([]byte, 0, 320), resp.Attempt{ID: string(h.task), Class: h.lane,
 			TimeoutMS: max(1, int64(h.patience/admission.Millisecond)), MemoryMB: h.memory, Priority: rank,
 			Token: h.token, Statement: h.statement})
-	})
+	}, func() { h.state.CompareAndSwap(written, fresh) })
 	if passed {
 		l.e.o.desk.Passed(h.by, h.task)
 	}
+	if late {
+		l.barred(h)
+	}
 }
 
-// barred ends a hand-off that was not written, as the rules that had it go out are gone by no more: nothing ran, and the engine has
-// no part in it.
+// barred ends a hand-off that must not be written any more, as its time is over or the rules that had it go out are gone by no
+// more: nothing ran, and the engine has no part in it.
 func (l *link) barred(h *handOff) {
 	if h.withdraw() {
 		l.e.mu.Lock()
@@ -97,20 +110,31 @@
 }
 
 // write gathers buffers into the connection. One that takes no more within the time in which connections come
-// up is given up, and its reader ends it.
-func (l *link) write(make func() net.Buffers) {
+// up is given up, and its reader ends it. unbegun is called if the first byte was refused already, as the connection was broken before:
+// proof that nothing ran.
+func (l *link) write(make func() net.Buffers, unbegun func()) {
 	l.writing.Lock()
 	defer l.writing.Unlock()
-	if buffers := make(); buffers != nil {
-		l.tcp.SetWriteDeadline(time.Now().Add(l.e.o.network.ConnectWithin))
-		if _, err := buffers.WriteTo(l.tcp); err != nil {
-			l.tcp.Close()
-		}
+	buffers := make()
+	if buffers == nil {
+		return
+	}
+	l.tcp.SetWriteDeadline(time.Now().Add(l.e.o.network.ConnectWithin))
+	n, err := buffers.WriteTo(l.tcp)
+	if err == nil {
+		return
+	}
+	l.tcp.Close()
+	if n == 0 {
+		unbegun()
 	}
 }
 
+// nothing is for writes of which it doesn't matter whether they were begun.
+func nothing() {}
+
 func (l *link) say(words ...string) {
-	l.write(func() net.Buffers { return net.Buffers{resp.Array(nil, words...)} })
+	l.write(func() net.Buffers { return net.Buffers{resp.Array(nil, words...)} }, nothing)
 }
 
 // over counts a hand-off out that has its last answer or needs none.
@@ -131,6 +155,7 @@
 	code, err := "panic", error(nil)
 	defer func() {
 		fault := recover()
+		l.writing.Lock() // who writes knows by then whether it had begun
 		e.mu.Lock()
 		left := l.out
 		var open, unwritten []*handOff
@@ -147,6 +172,7 @@
 		l.open, l.out = nil, 0
 		e.links = slices.DeleteFunc(e.links, func(k *link) bool { return k == l })
 		e.mu.Unlock()
+		l.writing.Unlock()
 		e.o.engineLinks.Add(-1)
 		for _, h := range unwritten { // proof that nothing ran
 			switch {
@@ -205,40 +231,51 @@
 func (l *link) read() (code string) {
 	r := bufio.NewReaderSize(l.tcp, resp.MostArray)
 	var parts [][]byte
-	last := false // look: its time is over, but what came while this process stood still counts
+	var last time.Time // until when it looks once more: its time is over, but what came while this process stood still counts
 	for {
 		var n int
 		var err error
 		parts, n, err = nextAnswer(r, parts, func() {
 			l.e.mu.Lock()
 			defer l.e.mu.Unlock()
-			if l.begun = (time.Time{}); r.Buffered() > 0 {
-				l.begun = time.Now()
-			}
-			if l.arm(); last {
-				l.tcp.SetReadDeadline(time.Now().Add(lastLook))
+			l.note(r.Buffered())
+			if l.arm(); !last.IsZero() {
+				l.tcp.SetReadDeadline(last)
 			}
 		})
 		switch {
 		case err == nil:
-			last = false
+			last = time.Time{}
 			if !l.answer(parts) {
 				return "bad_answer"
 			}
 			r.Discard(n)
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return endCode(err)
-		case last:
+		case !last.IsZero():
 			if code := l.rest(); code != "" {
 				return code
 			}
-			last = false
+			last = time.Time{}
 		default:
-			last = true
+			last = time.Now().Add(lastLook)
 		}
 	}
 }
 
+// note takes down how many bytes of the next answer are there.
+func (l *link) note(bytes int) {
+	switch {
+	case bytes == 0:
+		l.begun = time.Time{}
+	case l.begun.IsZero():
+		l.begun = time.Now()
+		l.grown = l.begun
+	default:
+		l.grown = time.Now()
+	}
+}
+
 // rest takes a connection whose time is over out of use, and tells why; empty: it was used meanwhile.
 func (l *link) rest() (code string) {
 	l.e.mu.Lock()
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"log/slog"
 	"math"
 	"net"
@@ -120,6 +121,7 @@
 	if o.desk != nil {
 		o.desk.Listed(now, form, list)
 	}
+	defer o.withdrawUnwritten(now, list)
 	if o.keep != nil {
 		o.placed(form, list)
 	}
@@ -129,6 +131,29 @@
 	o.module.Listed(now, form, list)
 }
 
+// withdrawUnwritten calls off the attempts at engines that take nothing new any more, as far as not a byte of them has gone out:
+// they wait for a connection, which may come up only after the time that the site allows for the last ones.
+func (o *owner) withdrawUnwritten(now admission.Time, list []admission.Listing) {
+	closed := func(h *handOff) bool {
+		return o.engines[h.engine] != h.to ||
+			slices.ContainsFunc(list, func(l admission.Listing) bool { return l.Engine == h.engine && l.State != admission.Live })
+	}
+	var late []*handOff
+	for _, t := range o.tasks {
+		if h := t.out; h != nil && !h.over && closed(h) {
+			late = append(late, h)
+		}
+	}
+	slices.SortFunc(late, func(a, b *handOff) int { return cmp.Compare(a.task, b.task) })
+	for _, h := range late {
+		h.again = true // should its connection break now, it isn't sent once more
+		if h.withdraw() {
+			h.of.by.do(h.undo)
+			o.ended(now, h, admission.Unreachable)
+		}
+	}
+}
+
 // arrived takes a task in.
 func (o *owner) arrived(now admission.Time, t *task) {
 	if o.tasks[t.id] != nil || o.module.Knows(t.id) { // a killed one is known until its hand-off ends
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,7 +58,7 @@
 
 func (o *owner) serve(start *deployment.Start, listener net.Listener, stop <-chan struct{},
 	renewed <-chan *deployment.Start) {
-	f := &follower{o: o, address: start.EngineList}
+	f := newFollower(o, start.EngineList)
 	f.tell(start.Known, admission.Remembered)
 	o.log.Info("serving", "name", start.Name, "address", listener.Addr().String())
 	ended, idle := make(chan struct{}), make(chan struct{})
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -390,7 +390,7 @@
 
 func (a action) end() { a.w.reply = append(a.w.reply, '\n') }
 
-func (i *instance) HandOff(t admission.TaskID, e admission.EngineID, patience admission.Time) {
+func (i *instance) HandOff(t admission.TaskID, e admission.EngineID, patience, _ admission.Time) {
 	i.act("relay").text(string(t)).text(string(e)).num(int64(patience) * tenth).end()
 }
 func (i *instance) Cancel(t admission.TaskID, n int) {
