--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -86,22 +86,19 @@
 	o := a.o
 	o.connections.Add(1)
 	s := newSession(o, tcp)
-	switch o.door.enter(s) {
-	case entered:
-		go s.run()
-	case refusedFull:
-		a.turnAway(s, "no_room")
-	case refusedClosing:
-		a.turnAway(s, "stopped")
+	if o.door.enter(s) == refusedFull {
+		a.turnAway(s)
+		return
 	}
+	go s.run()
 }
 
 // turnAway answers a client for which there is no session. It may have written its login and a query already, over which a close
 // would take the answer with it: so the answer is lingered for, as far as there are descriptors for that.
-func (a *acceptor) turnAway(s *session, code string) {
+func (a *acceptor) turnAway(s *session) {
 	end := func() {
 		s.tcp.Close()
-		a.o.connectionEnded("client", s.tcp.RemoteAddr().String(), code, 0, nil)
+		a.o.connectionEnded("client", s.tcp.RemoteAddr().String(), "no_room", 0, nil)
 	}
 	s.write(mysql.Error(nil, 0, mysql.ErrNoRoom, "too many connections"))
 	if !a.o.door.linger() {
--- a/internal/router/door.go
+++ b/internal/router/door.go
@@ -35,9 +35,8 @@
 type verdict int
 
 const (
-	entered        verdict = iota
-	refusedFull            // all are in the middle of a query
-	refusedClosing         // the router stops
+	entered     verdict = iota
+	refusedFull         // all are in the middle of a query
 )
 
 // mostLeaving is how many connections that end may be lingered for at a time: a part of ownDescriptors. Beyond it they are
@@ -48,9 +47,6 @@
 func (d *door) enter(s *session) verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closing {
-		return refusedClosing
-	}
 	if d.room > 0 && d.in >= d.room {
 		displaced := firstSilent(&d.strange)
 		if displaced == nil {
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -29,12 +29,9 @@
 		}
 	}
 	wait(time.After(lastRequests))
+	a.stop() // the address is free for a successor while requests still run here
 	o.door.shut()
 	for !o.door.empty() {
 		wait(time.After(stopPace))
 	}
-	a.stop() // whom the system had accepted is turned away
-	for !o.door.empty() {
-		wait(time.After(stopPace))
-	}
 }
