Tests of the router leave their engine list, so that none dials what the next test listens on

Seen in the loop of the new tests, 200 times under -race: 'panic: malformed array' in a stand-in engine. Routers of earlier tests were never stopped; their followers polled addresses of closed lists, which the system gave to stand-ins of later tests. Each stage now moves its router to a listener that stays, withdraws what is in hand and stops it. No assertion changed.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -249,11 +249,43 @@
 }
 
 func (s *stage) close() {
+	if s.o != nil {
+		s.leave()
+	}
 	for _, c := range s.things {
 		c.Close()
 	}
 }
 
+// nobody listens as long as the tests run and never answers.
+var nobody = sync.OnceValues(func() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") })
+
+// leave has the router leave its engine list and stop with nothing in hand: else it would dial addresses that the next test's
+// peers get.
+func (s *stage) leave() {
+	l, err := nobody()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	next := *s.start
+	next.EngineList, next.Known = l.Addr().String(), nil
+	select {
+	case s.renewed <- &next:
+	case <-s.ended:
+		return
+	}
+	s.o.tell(func(now admission.Time) {
+		for _, t := range s.o.tasks {
+			s.o.left(now, t)
+		}
+	})
+	select {
+	case <-s.stop: // by the test
+	default:
+		close(s.stop)
+	}
+}
+
 // end compares the trace with the kept one.
 func (s *stage) end(name string) {
 	s.t.Helper()
