--- /dev/null
+++ b/internal/router/process_test.go
@@ -0,0 +1,152 @@
+package router
+
+import (
+	"bufio"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"magpiebank/internal/deployment"
+	"magpiebank/internal/standin"
+)
+
+// asRouter names the configuration by which this program is a router in place of its tests.
+const asRouter = "ROUTER_TEST_CONFIG"
+
+func TestMain(m *testing.M) {
+	if path := os.Getenv(asRouter); path != "" {
+		os.Exit(serveAsProcess(path))
+	}
+	os.Exit(m.Run())
+}
+
+// serveAsProcess is a router's whole process, as the command line has it.
+func serveAsProcess(path string) int {
+	ends := make(chan os.Signal, 1)
+	signal.Notify(ends, syscall.SIGTERM)
+	start, err := deployment.ReadStart(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	stop := make(chan struct{})
+	go func() {
+		<-ends
+		close(stop)
+	}()
+	if err := Serve(start, With{}, slog.New(slog.NewTextHandler(os.Stderr, nil)), stop, nil); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+// startProcess starts a router as a process that may hold so many descriptors, and waits until it answers a ping.
+func startProcess(t *testing.T, configuration string, descriptors int) (process *exec.Cmd, log *lockedBuffer) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "configuration.json")
+	if err := os.WriteFile(path, []byte(configuration), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	process = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec %q", descriptors, os.Args[0]))
+	process.Env = append(os.Environ(), asRouter+"="+path)
+	log = &lockedBuffer{}
+	process.Stderr = log
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		process.Process.Kill()
+		process.Wait()
+	})
+	return process, log
+}
+
+// freeAddress is an address on which nobody listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// logIn connects a client; nil: it was turned away or shut out.
+func logIn(address string) *client {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	c.Write(loginPacket())
+	k := &client{c: c, r: bufio.NewReader(c)}
+	if k.packet()[0] != 10 || k.packet()[0] != 0 {
+		c.Close()
+		return nil
+	}
+	return k
+}
+
+// Idle clients fill every descriptor that they can get while the engine list is down: once it is back, the list, the engine and its
+// probes still get theirs, and a client that asks is served.
+func TestDescriptorsForListAndEngines(t *testing.T) {
+	const descriptors = 96
+	e, err := standin.StartEngine("e-1", "127.0.0.1:0", standin.Manner{Threads: 4, Cores: 8,
+		Works: []standin.Work{{Rows: 1}}}, standin.NewLog(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.Close()
+	address, listAddress := freeAddress(t), freeAddress(t)
+	_, log := startProcess(t, fmt.Sprintf(`{"name":"n0","listen":%q,"seed":"1","limits":{"sockets":%d},"coordinator":%q,
+	 "known":{"index":0,"updates":[]},"settings":%s}`, address, descriptors, listAddress, settings), descriptors)
+	eventually(t, "the router serves", func() bool { return logIn(address) != nil })
+	var crowd []net.Conn
+	defer func() {
+		for _, c := range crowd {
+			c.Close()
+		}
+	}()
+	fill := func() {
+		for range 3 * descriptors {
+			c, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			crowd = append(crowd, c)
+		}
+	}
+	fill()
+	list, err := standin.StartList(listAddress, []standin.Entry{
+		{ID: "e-1", Address: e.Address, Zone: "hall", Kind: "std", State: "Ready"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer list.Close()
+	fill()
+	served := false
+	eventually(t, "a client is served before the crowd", func() bool {
+		k := logIn(address)
+		if k == nil {
+			return false
+		}
+		defer k.c.Close()
+		k.c.Write(queryPacket(fmt.Sprintf("%02x", len(crowd)%256)))
+		served = k.packet()[0] == 3 // the columns of a result
+		fill()
+		return served
+	})
+	if text := log.String(); strings.Contains(text, "too many open files") {
+		t.Errorf("descriptors ran out:\n%.2000s", text)
+	}
+}
