--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -88,7 +88,7 @@
 			if len(args) > 0 {
 				return fmt.Errorf("no command %q\n\n%s", args[0], usage)
 			}
-			return errors.New("no command\n\n" + usage)
+			return fmt.Errorf("no command\n\n%s", usage)
 		}}
 	root.SetHelpFunc(func(c *cobra.Command, _ []string) {
 		if c == root {
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -116,7 +116,7 @@
 	heap.Push(&c.events, e)
 }
 
-// Up starts a process; its start is later than any before, unless its clock is told to be behind.
+// Begin starts a process; its start is later than any before, unless its clock is told to be behind.
 func (p *Process) Begin(start uint64) {
 	c := p.crowd
 	c.starts++
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -138,7 +138,7 @@
 		s.Fail("a time of 0 or more", "familyInfo", "progressPaceUs")
 	}
 	for i := range s.List("projects") {
-		n.Tenants = append(n.Tenants, s.Needed("projects", i, "name"))
+		n.Tenants = append(n.Tenants, s.Text("projects", i, "name"))
 	}
 	for i := range s.List("classes") {
 		n.Lanes = append(n.Lanes, s.Needed("classes", i, "name"))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -219,7 +219,7 @@
 	return nil
 }
 
-// Listed, Saw and Sent are the owner's words.
+// Listed takes in an event of the engine list, from the owner as Saw and Sent.
 func (f *Fleet) Listed(now admission.Time, form admission.Form, list []admission.Listing) {
 	f.box.Put(func() {
 		f.book.Listed(form, list)
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -520,7 +520,7 @@
 		out.Past = append(out.Past, PolicyAct{a.Number, a.Digest.String(), a.Size, a.Kind.String(), a.By, a.At, a.Of})
 	}
 	for _, e := range s.Ends {
-		out.Ends = append(out.Ends, *result(charter.Result{ID: e.ID, End: e.End, Number: e.Number, Why: e.Why}))
+		out.Ends = append(out.Ends, *result(charter.Result(e)))
 	}
 	for _, m := range s.Members {
 		out.Members = append(out.Members, PolicyMember{m.Name, seconds(m.Heard), seconds(m.Lease), m.Ready, m.Out, m.Why})
--- a/internal/fleet/rights.go
+++ b/internal/fleet/rights.go
@@ -191,7 +191,7 @@
 	return out
 }
 
-// Open, Take, Done and Want are the owner's, for classes of the whole fleet.
+// Open tells whether a class of the whole fleet may use so much more. The owner calls it, as it calls Take, Done and Want.
 func (f *Fleet) Open(now admission.Time, b int, amount int64) bool {
 	return f.shares != nil && f.shares.Open(now, b, amount, f.rights.Longest)
 }
--- a/internal/load/crew/coordinator.go
+++ b/internal/load/crew/coordinator.go
@@ -87,7 +87,7 @@
 
 func (c *Coordinator) now() time.Duration { return time.Since(c.run.Start) }
 
-// Grant, Losses and Say: the calls of MusterHost, made under the lock. Links are written by goroutines of their own, so
+// Grant lets a worker offer its share until a time. It is a call of MusterHost, made under the lock as Losses and Say are. Links are written by goroutines of their own, so
 // that one that takes nothing doesn't hold up the others.
 func (c *Coordinator) Grant(worker int, until time.Duration) { c.send(worker, frameGrant, until) }
 
--- a/internal/load/drive/conn.go
+++ b/internal/load/drive/conn.go
@@ -52,7 +52,7 @@
 	refused, err := c.open()
 	if err == nil {
 		c.w.tell(event{kind: up, at: c.w.now(), c: c})
-		err = c.read()
+		c.read() // its end is told below, whatever it was
 	}
 	if c.tcp != nil {
 		c.tcp.Close()
--- a/internal/load/figures/figures.go
+++ b/internal/load/figures/figures.go
@@ -256,8 +256,10 @@
 	l.Closed.Merge(m.Closed)
 }
 
-// Quantiles of the generator's own delay and of waits for a connection.
-func (f *Figures) OwnQuantile(q float64) time.Duration    { return quantile(f.Own, q) }
+// OwnQuantile is a quantile of the generator's own delay.
+func (f *Figures) OwnQuantile(q float64) time.Duration { return quantile(f.Own, q) }
+
+// QueuedQuantile is one of waits for a connection.
 func (f *Figures) QueuedQuantile(q float64) time.Duration { return quantile(f.Queued, q) }
 
 // The form in which figures are sent and kept: JSON, with histograms in the library's own compressed form.
--- a/internal/operator/desk.go
+++ b/internal/operator/desk.go
@@ -91,7 +91,7 @@
 	d.log.Info("operator's file", "code", "renewed", "pools", len(s.Plan.Pools), "classes", len(s.Plan.Classes))
 }
 
-// Open, Pool and In are what the decisions ask.
+// Open tells whether one more task of a class may go out. The decisions ask it, as they ask Pool and In.
 func (d *Desk) Open(now admission.Time, class int, threads float64) bool {
 	d.now = now
 	if d.law != nil {
--- a/internal/report/compare.go
+++ b/internal/report/compare.go
@@ -6,7 +6,6 @@
 	"math"
 	"sort"
 
-	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
 	"magpiebank/internal/load/client"
@@ -42,7 +41,6 @@
 func median(values []float64) (mid, low, high float64) {
 	sort.Float64s(values)
 	n := len(values)
-	mid = stat.Quantile(0.5, stat.LinInterp, values, nil)
 	if n == 1 {
 		return values[0], values[0], values[0]
 	}
--- a/internal/route/desk.go
+++ b/internal/route/desk.go
@@ -185,16 +185,16 @@
 }
 
 // places finds a plan's pools among the site's zones and kinds.
-func (plan *Plan) places(zones, kinds []string) ([]pool, error) {
-	places := make([]pool, len(plan.Pools))
-	for i := range plan.Pools {
-		p := &places[i]
-		p.Pool = plan.Pools[i]
+func (p *Plan) places(zones, kinds []string) ([]pool, error) {
+	places := make([]pool, len(p.Pools))
+	for i := range p.Pools {
+		place := &places[i]
+		place.Pool = p.Pools[i]
 		for _, f := range []struct {
 			field       string
 			names, site []string
 			to          *[]int
-		}{{"zones", p.Zones, zones, &p.zones}, {"kinds", p.Kinds, kinds, &p.kinds}} {
+		}{{"zones", place.Zones, zones, &place.zones}, {"kinds", place.Kinds, kinds, &place.kinds}} {
 			for _, name := range f.names {
 				n := slices.Index(f.site, name)
 				if n < 0 {
@@ -204,7 +204,7 @@
 			}
 		}
 	}
-	return places, plan.check()
+	return places, p.check()
 }
 
 // check finds what a plan says twice, or of pools that it doesn't have.
--- a/internal/store/index.go
+++ b/internal/store/index.go
@@ -96,12 +96,3 @@
 		}
 	}
 }
-
-// each calls f for all places, in no order that means anything.
-func (x *index) each(f func(p *place)) {
-	for i := range x.places {
-		if x.places[i].segment != 0 {
-			f(&x.places[i])
-		}
-	}
-}
