--- a/internal/router/follow_test.go
+++ b/internal/router/follow_test.go
@@ -50,8 +50,9 @@
 	s.renewed <- &next
 	s.logged("code=refused")
 	l := s.listen()
-	next.EngineList = l.Addr().String()
-	s.renewed <- &next
+	after := next
+	after.EngineList = l.Addr().String()
+	s.renewed <- &after
 	polled(t, l)
 }
 
