--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -86,7 +86,7 @@
 	o := a.o
 	o.connections.Add(1)
 	s := newSession(o, tcp)
-	if o.door.enter(s) == refusedFull {
+	if o.clients.enter(s) == refusedFull {
 		a.turnAway(s)
 		return
 	}
@@ -101,12 +101,12 @@
 		a.o.connectionEnded("client", s.tcp.RemoteAddr().String(), "no_room", 0, nil)
 	}
 	s.write(mysql.Error(nil, 0, mysql.ErrNoRoom, "too many connections"))
-	if !a.o.door.linger() {
+	if !a.o.clients.linger() {
 		end()
 		return
 	}
 	go func() {
-		defer a.o.door.lingered()
+		defer a.o.clients.lingered()
 		defer end()
 		s.linger(lingering)
 	}()
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -36,7 +36,7 @@
 
 // answer takes in one answer: its id, its word, and fields and body where it has them. It tells whether it could
 // be read; where one can't, what follows on the connection is of no more use.
-func (l *link) answer(parts [][]byte) bool {
+func (l *engineConn) answer(parts [][]byte) bool {
 	e := l.e
 	task := admission.TaskID(parts[0])
 	var fields, body []byte
@@ -113,13 +113,13 @@
 )
 
 // passOver takes in an answer that nobody waits for. It tells whether the connection can still be believed.
-func (l *link) passOver() bool {
+func (l *engineConn) passOver() bool {
 	l.unasked++
 	return l.unasked <= mostUnasked
 }
 
 // mayNote counts a note and tells whether an engine may bring so many, where one each pace is usual.
-func (h *handOff) mayNote(now time.Time, pace time.Duration) bool {
+func (h *attempt) mayNote(now time.Time, pace time.Duration) bool {
 	h.notes++
 	most := mostNotes
 	if pace > 0 {
@@ -129,7 +129,7 @@
 }
 
 // first keeps the first page of a result and asks for the others at once.
-func (l *link) first(h *handOff, fields, body []byte) bool {
+func (l *engineConn) first(h *attempt, fields, body []byte) bool {
 	if h.pages != nil {
 		return l.passOver() // once is enough
 	}
@@ -159,7 +159,7 @@
 }
 
 // keep puts a page into its place, if it is one. With the last one missing the result is whole.
-func (l *link) keep(h *handOff, n int, body []byte) bool {
+func (l *engineConn) keep(h *attempt, n int, body []byte) bool {
 	if h.pages[n] != nil {
 		return l.passOver()
 	}
@@ -174,8 +174,8 @@
 	return true
 }
 
-// ended takes a hand-off that has its last answer off the connection.
-func (l *link) ended(h *handOff, how admission.Outcome) {
+// ended takes an attempt that has its last answer off the connection.
+func (l *engineConn) ended(h *attempt, how admission.Outcome) {
 	l.unasked = 0
 	l.e.mu.Lock()
 	l.over(h)
--- a/internal/router/handoff.go
+++ b/internal/router/attempt.go
@@ -10,11 +10,11 @@
 	"magpiebank/internal/resp"
 )
 
-// handOff is one hand-off of a task to an engine. The owner has n, over, again, doubt and stop; mu of the engine
-// guards what stands below state, which is its carrier's.
-type handOff struct {
+// attempt is one attempt of a task to an engine. The owner has n, over, again, doubt and stop; mu of the engine
+// guards what stands below state, which is its engineClient's.
+type attempt struct {
 	of        *task
-	to        carrier
+	to        engineClient
 	engine    admission.EngineID // to's
 	task      admission.TaskID   // of's id
 	n         int
@@ -29,7 +29,7 @@
 	sendBy    admission.Time // from then on it must not be written; 0: no limit
 	memory    float64
 	state     atomic.Int32
-	carried   bool // the owner's: it was handed to its carrier
+	carried   bool // the owner's: it was handed to its engineClient
 
 	// As the desk counts it.
 	foreseen         admission.Foreseen
@@ -37,7 +37,7 @@
 	by               uint64 // the rules that had it go out; 0: none that may change
 
 	rank    int
-	link    *link
+	conn    *engineConn
 	rested  time.Duration // how long its connection was idle before
 	sent    time.Time
 	undone  bool
@@ -51,19 +51,19 @@
 	report  admission.Report // the engine's load as its answer tells, where the settings say that answers do
 }
 
-// The states of a hand-off on its way to the socket.
+// The states of an attempt on its way to the socket.
 const (
 	fresh int32 = iota
 	written
 	withdrawn
 )
 
-// withdraw keeps a hand-off that isn't written yet from being so.
-func (h *handOff) withdraw() bool { return h.state.CompareAndSwap(fresh, withdrawn) }
+// withdraw keeps an attempt that isn't written yet from being so.
+func (h *attempt) withdraw() bool { return h.state.CompareAndSwap(fresh, withdrawn) }
 
-// undo gives a hand-off up, or the pages of its result that are still to come.
-func (h *handOff) undo() {
-	l := h.link
+// undo gives an attempt up, or the pages of its result that are still to come.
+func (h *attempt) undo() {
+	l := h.conn
 	if l == nil { // it was withdrawn before it had a connection
 		return
 	}
@@ -87,9 +87,9 @@
 	}
 }
 
-// bump gives a hand-off another rank.
-func (h *handOff) bump(rank int) {
-	l := h.link
+// bump gives an attempt another rank.
+func (h *attempt) bump(rank int) {
+	l := h.conn
 	if l == nil {
 		return
 	}
@@ -103,8 +103,8 @@
 }
 
 // forget drops what was kept to tell late answers; the task is over, and its id doesn't come again.
-func (h *handOff) forget() {
-	l := h.link
+func (h *attempt) forget() {
+	l := h.conn
 	if l == nil {
 		return
 	}
--- a/internal/router/cut_test.go
+++ b/internal/router/cut_test.go
@@ -19,9 +19,9 @@
 		close(done)
 	})
 	<-done
-	s.o.door.mu.Lock()
-	defer s.o.door.mu.Unlock()
-	return n + s.o.door.in + s.o.door.leaving
+	s.o.clients.mu.Lock()
+	defer s.o.clients.mu.Unlock()
+	return n + s.o.clients.in + s.o.clients.leaving
 }
 
 // A client that resets its connection after any byte of its login and query harms nobody, and nothing is kept of it.
@@ -111,7 +111,7 @@
 	s.wait(1)
 	close(s.stop)
 	s.logged("stopping")
-	eventually(t, "the door is shut", s.o.door.shutting)
+	eventually(t, "the router refuses requests", s.o.clients.shutting)
 	s.pass(2 * admission.Second)
 	a.gets()
 	select {
--- a/internal/router/desk.go
+++ b/internal/router/desk.go
@@ -11,13 +11,13 @@
 	// Arrived rules on the task that a reader has read. A text in refuse is the client's final answer; crowded: it is
 	// nacked, as too many of its class wait, or nobody knows now what holds for it.
 	Arrived(now admission.Time, r Reader) (f admission.Foreseen, crowded bool, refuse string)
-	// Sent takes in a hand-off; Back its end, with the work it took (0: not told) and whether its task waits again. What
+	// Sent takes in an attempt; Back its end, with the work it took (0: not told) and whether its task waits again. What
 	// Sent returns is handed to Back; by, where it is not 0, names the rules that had it go out.
 	Sent(f admission.Foreseen, threads float64) (charged float64, by uint64)
 	Back(f admission.Foreseen, threads, charged float64, work admission.Time, waits bool)
 	// Left takes in that a waiting task got its final answer.
 	Left(f admission.Foreseen)
-	// Pass tells, right before a hand-off is written, whether the rules that had it go out are still gone by; Passed follows once it
+	// Pass tells, right before an attempt is written, whether the rules that had it go out are still gone by; Passed follows once it
 	// is written. Both are called by the goroutine that writes.
 	Pass(by uint64, task admission.TaskID) bool
 	Passed(by uint64, task admission.TaskID)
@@ -36,8 +36,8 @@
 // seen tells whether the desk keeps account of a task.
 func (t *task) seen() bool { return t.class > 0 || t.foreseen.Trial > 0 }
 
-// sent notes a hand-off.
-func (o *owner) sent(h *handOff) {
+// sent notes an attempt.
+func (o *owner) sent(h *attempt) {
 	if t := h.of; t.seen() {
 		h.foreseen, h.threads = t.foreseen, float64(o.site.Lanes[t.lane].Threads)
 		h.charged, h.by = o.desk.Sent(t.foreseen, h.threads)
@@ -45,8 +45,8 @@
 	}
 }
 
-// back tells the module that a hand-off has ended, and before it what limits its class.
-func (o *owner) back(now admission.Time, h *handOff, how admission.Outcome, over bool, work admission.Time, memory float64) {
+// back tells the module that an attempt has ended, and before it what limits its class.
+func (o *owner) back(now admission.Time, h *attempt, how admission.Outcome, over bool, work admission.Time, memory float64) {
 	if f := &h.foreseen; f.Class > 0 || f.Trial > 0 {
 		waits := !over && o.tasks[h.of.id] == h.of
 		o.desk.Back(h.foreseen, h.threads, h.charged, work, waits)
--- a/internal/router/driver_test.go
+++ b/internal/router/driver_test.go
@@ -92,7 +92,7 @@
 }
 
 func Example_lull() { // lines of a list that is away and asked four times a second, in seconds
-	var l lull
+	var l logLimiter
 	from := time.Unix(0, 0)
 	for n := range 4 * 300 {
 		now := from.Add(time.Duration(n) * 250 * time.Millisecond)
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -8,15 +8,15 @@
 	"magpiebank/internal/admission"
 )
 
-// engine is one engine's connections. A hand-off has one of its own while descriptors allow, else it shares one with as
+// engine is one engine's connections. A attempt has one of its own while descriptors allow, else it shares one with as
 // many as the site allows; probes have one of their own.
 type engine struct {
 	o       *owner
 	name    admission.EngineID
 	address string
-	bell    chan struct{} // rung for a probe
+	wake    chan struct{} // rung for a probe
 	mu      sync.Mutex
-	links   []*link
+	conns   []*engineConn
 	retired bool
 
 	staleAfter time.Duration // the rest that connections are kept to since one broke at a request; 0: none did
@@ -24,7 +24,7 @@
 }
 
 func newEngine(o *owner, name admission.EngineID, address string) *engine {
-	e := &engine{o: o, name: name, address: address, bell: make(chan struct{}, 1)}
+	e := &engine{o: o, name: name, address: address, wake: make(chan struct{}, 1)}
 	go (&prober{e: e}).serve()
 	return e
 }
@@ -33,18 +33,18 @@
 
 func (e *engine) probe() {
 	select {
-	case e.bell <- struct{}{}:
+	case e.wake <- struct{}{}:
 	default: // one is under way
 	}
 }
 
 // retire ends the probes, and the connections once nothing is out on them.
 func (e *engine) retire() {
-	close(e.bell)
+	close(e.wake)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.retired = true
-	for _, l := range e.links {
+	for _, l := range e.conns {
 		l.arm()
 	}
 }
@@ -54,24 +54,24 @@
 	e.retire()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, l := range e.links {
+	for _, l := range e.conns {
 		if l.tcp != nil {
 			l.tcp.Close()
 		}
 	}
 }
 
-// send puts a hand-off on a connection of its own while descriptors allow: one that breaks takes the others on
+// send puts an attempt on a connection of its own while descriptors allow: one that breaks takes the others on
 // it along. It is one that was idle, the last used of those; else a new one; else the one with the least on it.
-// A task goes out once on a connection, so that no copy of an answer is taken for a later hand-off's.
-func (e *engine) send(h *handOff) {
+// A task goes out once on a connection, so that no copy of an answer is taken for a later attempt's.
+func (e *engine) send(h *attempt) {
 	if h.state.Load() == withdrawn {
 		return
 	}
 	e.mu.Lock()
-	var best *link
+	var best *engineConn
 	longest := e.fresh()
-	for _, l := range e.links {
+	for _, l := range e.conns {
 		if l.out >= e.o.network.Streams || l.open[h.task] != nil || l.silent() ||
 			l.out == 0 && time.Since(l.used) >= longest {
 			continue
@@ -80,15 +80,15 @@
 			best = l
 		}
 	}
-	if best == nil || best.out > 0 && e.o.engineLinks.Load() < e.o.engineRoom {
-		best = &link{e: e, open: map[admission.TaskID]*handOff{}}
-		e.links = append(e.links, best)
+	if best == nil || best.out > 0 && e.o.engineConns.Load() < e.o.engineRoom {
+		best = &engineConn{e: e, open: map[admission.TaskID]*attempt{}}
+		e.conns = append(e.conns, best)
 		e.o.connections.Add(1)
-		e.o.engineLinks.Add(1)
+		e.o.engineConns.Add(1)
 		go best.serve()
 	}
 	l := best
-	h.link, h.sent, h.rested = l, time.Now(), 0
+	h.conn, h.sent, h.rested = l, time.Now(), 0
 	if l.out == 0 {
 		if l.heard = h.sent; l.tcp != nil {
 			h.rested = h.sent.Sub(l.used)
@@ -113,7 +113,7 @@
 // fresh is how long a connection may have been idle to be used again: until the engine would close it, or less where
 // connections were seen to break at a request after a shorter rest. What was seen counts for half every restTrust.
 func (e *engine) fresh() time.Duration {
-	const restTrust = 10 * time.Second // some hundred hand-offs, of which few are then lost to look again
+	const restTrust = 10 * time.Second // some hundred attempts, of which few are then lost to look again
 	most := e.o.idleAfter()
 	if e.staleAfter > 0 {
 		return min(most, e.staleAfter<<min(20, time.Since(e.staleAt)/restTrust))
@@ -121,9 +121,9 @@
 	return most
 }
 
-// stale tells of a hand-off at which an idle connection broke: the engine, or what stands between, had dropped it, and
+// stale tells of an attempt at which an idle connection broke: the engine, or what stands between, had dropped it, and
 // that says nothing of the engine now. Rests are kept to half of that one from then on.
-func (e *engine) stale(h *handOff) bool {
+func (e *engine) stale(h *attempt) bool {
 	const least = 20 * time.Millisecond // of a rest: one as short is no cause
 	if h.rested < least || time.Since(h.sent) > e.o.network.ConnectWithin {
 		return false
--- a/internal/router/link.go
+++ b/internal/router/engine_conn.go
@@ -14,15 +14,15 @@
 	"magpiebank/internal/resp"
 )
 
-// link is a connection for hand-offs.
-type link struct {
+// engineConn is a connection for attempts.
+type engineConn struct {
 	e       *engine
-	open    map[admission.TaskID]*handOff // until their tasks are over, as late answers and second copies may come
+	open    map[admission.TaskID]*attempt // until their tasks are over, as late answers and second copies may come
 	out     int                           // of those, without a last answer
-	waiting []*handOff                    // until it is up
+	waiting []*attempt                    // until it is up
 	tcp     net.Conn
 	used    time.Time
-	heard   time.Time // when an answer came, or the first hand-off went out on it
+	heard   time.Time // when an answer came, or the first attempt went out on it
 	asked   time.Time // when an undo went out; zero once anything is heard
 	begun   time.Time // when the first part of an answer came that isn't whole yet; zero: there is none
 	grown   time.Time // and when the last part came
@@ -32,7 +32,7 @@
 
 // silent tells of a connection on which nothing came after an undo, not even the word that it was heard: the
 // machine behind it may be gone without a sign, and a new connection tells that sooner than a time-out.
-func (l *link) silent() bool {
+func (l *engineConn) silent() bool {
 	return !l.asked.IsZero() && time.Since(l.asked) > l.e.o.network.ConnectWithin
 }
 
@@ -41,10 +41,10 @@
 const mostPieces = 4
 
 // arm sets the time until which the connection may bring nothing. An answer that is there in part, or the word that
-// an undo was heard, has as long as a connection to come up. A hand-off that isn't over brings notes at the engine's
+// an undo was heard, has as long as a connection to come up. A attempt that isn't over brings notes at the engine's
 // pace, which scatters by half of it: after twice the pace its answer is lost, and with it the connection. Else it
 // rests until the engine would close it; one to a retired engine does not.
-func (l *link) arm() {
+func (l *engineConn) arm() {
 	if l.tcp == nil {
 		return
 	}
@@ -67,7 +67,7 @@
 	l.tcp.SetReadDeadline(by)
 }
 
-func (l *link) do(h *handOff) {
+func (l *engineConn) do(h *attempt) {
 	l.e.mu.Lock()
 	rank := h.rank
 	l.e.mu.Unlock()
@@ -95,9 +95,9 @@
 	}
 }
 
-// barred ends a hand-off that must not be written any more, as its time is over or the rules that had it go out are gone by no
+// barred ends an attempt that must not be written any more, as its time is over or the rules that had it go out are gone by no
 // more: nothing ran, and the engine has no part in it.
-func (l *link) barred(h *handOff) {
+func (l *engineConn) barred(h *attempt) {
 	if h.withdraw() {
 		l.e.mu.Lock()
 		if l.open[h.task] == h {
@@ -112,7 +112,7 @@
 // write gathers buffers into the connection. One that takes no more within the time in which connections come
 // up is given up, and its reader ends it. unbegun is called if the first byte was refused already, as the connection was broken before:
 // proof that nothing ran.
-func (l *link) write(make func() net.Buffers, unbegun func()) {
+func (l *engineConn) write(make func() net.Buffers, unbegun func()) {
 	l.writing.Lock()
 	defer l.writing.Unlock()
 	buffers := make()
@@ -133,12 +133,12 @@
 // nothing is for writes of which it doesn't matter whether they were begun.
 func nothing() {}
 
-func (l *link) say(words ...string) {
+func (l *engineConn) say(words ...string) {
 	l.write(func() net.Buffers { return net.Buffers{resp.Array(nil, words...)} }, nothing)
 }
 
-// over counts a hand-off out that has its last answer or needs none.
-func (l *link) over(h *handOff) {
+// over counts an attempt out that has its last answer or needs none.
+func (l *engineConn) over(h *attempt) {
 	if !h.done {
 		h.done = true
 		l.out--
@@ -150,7 +150,7 @@
 const crossing = 50 * time.Millisecond
 
 // serve dials the connection, writes what waited for it and reads answers until it ends.
-func (l *link) serve() {
+func (l *engineConn) serve() {
 	e := l.e
 	code, err := "panic", error(nil)
 	defer func() {
@@ -158,7 +158,7 @@
 		l.writing.Lock() // who writes knows by then whether it had begun
 		e.mu.Lock()
 		left := l.out
-		var open, unwritten []*handOff
+		var open, unwritten []*attempt
 		for _, h := range l.open {
 			switch {
 			case h.done:
@@ -170,10 +170,10 @@
 		}
 		up := l.tcp != nil
 		l.open, l.out = nil, 0
-		e.links = slices.DeleteFunc(e.links, func(k *link) bool { return k == l })
+		e.conns = slices.DeleteFunc(e.conns, func(k *engineConn) bool { return k == l })
 		e.mu.Unlock()
 		l.writing.Unlock()
-		e.o.engineLinks.Add(-1)
+		e.o.engineConns.Add(-1)
 		for _, h := range unwritten { // proof that nothing ran
 			switch {
 			case up:
@@ -232,7 +232,7 @@
 }
 
 // read takes in answers until the connection ends, has been idle, or brings nothing where it should.
-func (l *link) read() (code string) {
+func (l *engineConn) read() (code string) {
 	r := bufio.NewReaderSize(l.tcp, resp.MostArray)
 	var parts [][]byte
 	var last time.Time // until when it looks once more: its time is over, but what came while this process stood still counts
@@ -268,7 +268,7 @@
 }
 
 // note takes down how many bytes of the next answer are there.
-func (l *link) note(bytes int) {
+func (l *engineConn) note(bytes int) {
 	switch {
 	case bytes == 0:
 		l.begun = time.Time{}
@@ -281,7 +281,7 @@
 }
 
 // rest takes a connection whose time is over out of use, and tells why; empty: it was used meanwhile.
-func (l *link) rest() (code string) {
+func (l *engineConn) rest() (code string) {
 	l.e.mu.Lock()
 	defer l.e.mu.Unlock()
 	pace := time.Duration(l.e.o.site.Pace) * tenth
@@ -295,6 +295,6 @@
 	default:
 		return ""
 	}
-	l.e.links = slices.DeleteFunc(l.e.links, func(k *link) bool { return k == l })
+	l.e.conns = slices.DeleteFunc(l.e.conns, func(k *engineConn) bool { return k == l })
 	return code
 }
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -10,7 +10,7 @@
 
 func (a host) HandOff(id admission.TaskID, name admission.EngineID, patience, sendBy admission.Time) {
 	t, e := a.o.tasks[id], a.o.engines[name]
-	h := &handOff{of: t, to: e, engine: name, task: id, n: t.tries, lane: t.name, statement: t.statement, token: t.token, patience: patience, sendBy: sendBy,
+	h := &attempt{of: t, to: e, engine: name, task: id, n: t.tries, lane: t.name, statement: t.statement, token: t.token, patience: patience, sendBy: sendBy,
 		memory: t.memory, rank: t.rank, report: admission.NoReport}
 	t.tries++
 	t.out = h
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// A query that lay unread until its client had left is not sent on: the process stood still, as the door's lock has the session do
+// A query that lay unread until its client had left is not sent on: the process stood still, as the limiter's lock has the session do
 // here. A connection to the engine is up, so an attempt would be written at once; without the look at the client which of the
 // attempt and the end was first was chance, so it is tried often.
 func TestClientLeftBeforeItsQueryIsRead(t *testing.T) {
@@ -121,15 +121,15 @@
 	for range 40 {
 		for _, leave := range departures {
 			c := s.client()
-			s.o.door.mu.Lock()
+			s.o.clients.mu.Lock()
 			c.look("aa")
 			leave(c)
 			tcp := s.connectionOf(c)
 			eventually(t, "the client's end is there", func() bool { return endArrived(tcp) })
-			s.o.door.mu.Unlock()
+			s.o.clients.mu.Unlock()
 		}
 	}
-	eventually(t, "all sessions but one end", func() bool { return s.kept() == 2 }) // its place at the door, and its number
+	eventually(t, "all sessions but one end", func() bool { return s.kept() == 2 }) // its place among the clients, and its number
 	s.onlyHears(e, "cc")
 }
 
--- a/internal/router/door.go
+++ b/internal/router/limiter.go
@@ -9,11 +9,11 @@
 	"time"
 )
 
-// door keeps the clients' connections within their part of the descriptors. What is not in the middle of a query
+// connectionLimiter keeps the clients' connections within their part of the descriptors. What is not in the middle of a query
 // stands in a line; a newcomer who finds no room takes the place of the first there of which nothing waits to be read:
 // of those that have asked for nothing yet the oldest, else the one longest without a query. A connection with a query
 // is never closed for it.
-type door struct {
+type connectionLimiter struct {
 	mu      sync.Mutex
 	room    int // 0: no limit
 	in      int // sessions that run
@@ -45,7 +45,7 @@
 const mostLeaving = ownDescriptors / 3
 
 // enter lets a session in, where need be in the place of another.
-func (d *door) enter(s *session) verdict {
+func (d *connectionLimiter) enter(s *session) verdict {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.room > 0 && d.in >= d.room {
@@ -65,7 +65,7 @@
 
 // displace ends a session that waits for a packet. Its client is told by the end of what it reads; what it sends at that very moment
 // is read by the session, as a close over it would be a reset.
-func (d *door) displace(s *session) {
+func (d *connectionLimiter) displace(s *session) {
 	d.out(s)
 	s.displaced = true
 	d.in--
@@ -79,7 +79,7 @@
 }
 
 // linger tells whether there are descriptors to linger for one more connection; lingered follows when that has ended.
-func (d *door) linger() bool {
+func (d *connectionLimiter) linger() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.leaving >= mostLeaving {
@@ -89,7 +89,7 @@
 	return true
 }
 
-func (d *door) lingered() {
+func (d *connectionLimiter) lingered() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.leaving--
@@ -132,7 +132,7 @@
 }
 
 // rest puts a session into the line while it waits for a packet, and sets the time until which it does.
-func (d *door) rest(s *session) {
+func (d *connectionLimiter) rest(s *session) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s.place == nil && !s.displaced && s.r.Buffered() == 0 {
@@ -149,14 +149,14 @@
 }
 
 // work takes a session that reads a packet out of the line, and tells whether it still has its place.
-func (d *door) work(s *session) bool {
+func (d *connectionLimiter) work(s *session) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.out(s)
 	return !s.displaced
 }
 
-func (d *door) leave(s *session) {
+func (d *connectionLimiter) leave(s *session) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.out(s)
@@ -167,14 +167,14 @@
 	}
 }
 
-func (d *door) line(s *session) {
+func (d *connectionLimiter) line(s *session) {
 	if s.line = &d.strange; s.asked {
 		s.line = &d.known
 	}
 	s.place = s.line.PushBack(s)
 }
 
-func (d *door) out(s *session) {
+func (d *connectionLimiter) out(s *session) {
 	if s.place != nil {
 		s.line.Remove(s.place)
 		s.place = nil
@@ -182,7 +182,7 @@
 }
 
 // shut ends the sessions: those in line once they had a last look, the others with their answers.
-func (d *door) shut() {
+func (d *connectionLimiter) shut() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.closing = true
@@ -193,14 +193,14 @@
 	}
 }
 
-func (d *door) shutting() bool {
+func (d *connectionLimiter) shutting() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.closing
 }
 
 // empty tells whether no session runs any more, and none is lingered for.
-func (d *door) empty() bool {
+func (d *connectionLimiter) empty() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.in == 0 && d.leaving == 0
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -16,7 +16,7 @@
 )
 
 // owner is the one goroutine that calls the module. Sockets reach it through its inbox, and it reaches them
-// through the mailboxes of sessions and the bells of engines; it never waits for either.
+// through the mailboxes of sessions and the wake-up channels of engines; it never waits for either.
 type owner struct {
 	clock          Clock
 	inbox          *inbox.Box
@@ -27,22 +27,22 @@
 	keep           *Keeping         // nil: nothing of tasks is recorded
 	peers          Peers            // nil: this gateway speaks to no other
 	tape           *capture.Capture // nil: nothing is recorded
-	door           door
+	clients        connectionLimiter
 	statements     atomic.Int64 // bytes set aside for long statements,
 	mostStatements int64        // and how many may be; 0: no limit
-	engineLinks    atomic.Int64 // connections to engines, probes' too,
-	engineRoom     int64        // and at how many hand-offs begin to share theirs
+	engineConns    atomic.Int64 // connections to engines, probes' too,
+	engineRoom     int64        // and at how many attempts begin to share theirs
 	connections    atomic.Int64 // whose line is not in the log yet
 	stopped        atomic.Bool
 
 	now      admission.Time
 	module   *admission.Router
 	tasks    map[admission.TaskID]*task // taken and without a final answer
-	engines  map[admission.EngineID]carrier
-	dial     func(address string) (net.Conn, error)                // connects to an engine, within the time that the site allows
-	carrier  func(name admission.EngineID, address string) carrier // makes one for an engine
-	sessions map[uint32]*session                                   // of the MySQL front, by connection id
-	places   map[admission.EngineID]admission.Listing              // where a record is kept
+	engines  map[admission.EngineID]engineClient
+	dial     func(address string) (net.Conn, error)                     // connects to an engine, within the time that the site allows
+	connect  func(name admission.EngineID, address string) engineClient // makes one for an engine
+	sessions map[uint32]*session                                        // of the MySQL front, by connection id
+	places   map[admission.EngineID]admission.Listing                   // where a record is kept
 }
 
 // ownDescriptors is what the process holds besides connections of clients and engines: its streams, the poller's,
@@ -52,16 +52,16 @@
 func newOwner(start *deployment.Start, clock Clock, log *slog.Logger) *owner {
 	o := &owner{clock: clock, inbox: inbox.New(), log: log, network: start.Network, site: start.Site, now: clock.Now(),
 		sessions: map[uint32]*session{}, tasks: map[admission.TaskID]*task{},
-		engines: map[admission.EngineID]carrier{}}
+		engines: map[admission.EngineID]engineClient{}}
 	o.dial = func(address string) (net.Conn, error) {
 		return net.DialTimeout("tcp", address, o.network.ConnectWithin)
 	}
-	o.carrier = func(name admission.EngineID, address string) carrier { return newEngine(o, name, address) }
+	o.connect = func(name admission.EngineID, address string) engineClient { return newEngine(o, name, address) }
 	// Clients have what engines, which get a third, and the process itself leave of the descriptors; by the
 	// protocol they hold a third, so what they have more is for those that should not be there.
 	if o.engineRoom = math.MaxInt64; start.Sockets > 0 {
 		o.engineRoom = int64(start.Sockets / 3)
-		o.door.room = max(start.Sockets/3, start.Sockets-start.Sockets/3-ownDescriptors)
+		o.clients.room = max(start.Sockets/3, start.Sockets-start.Sockets/3-ownDescriptors)
 	}
 	o.mostStatements = int64(start.MemoryMB) << 20 / 16
 	o.module = admission.New(o.now, start.Seed, start.Site, host{o})
@@ -115,7 +115,7 @@
 			e = nil
 		}
 		if e == nil && l.State != admission.Gone {
-			o.engines[l.Engine] = o.carrier(l.Engine, addresses[i])
+			o.engines[l.Engine] = o.connect(l.Engine, addresses[i])
 		}
 	}
 	if o.desk != nil {
@@ -134,17 +134,17 @@
 // withdrawUnwritten calls off the attempts at engines that take nothing new any more, as far as not a byte of them has gone out:
 // they wait for a connection, which may come up only after the time that the site allows for the last ones.
 func (o *owner) withdrawUnwritten(now admission.Time, list []admission.Listing) {
-	closed := func(h *handOff) bool {
+	closed := func(h *attempt) bool {
 		return o.engines[h.engine] != h.to ||
 			slices.ContainsFunc(list, func(l admission.Listing) bool { return l.Engine == h.engine && l.State != admission.Live })
 	}
-	var late []*handOff
+	var late []*attempt
 	for _, t := range o.tasks {
 		if h := t.out; h != nil && !h.over && closed(h) {
 			late = append(late, h)
 		}
 	}
-	slices.SortFunc(late, func(a, b *handOff) int { return cmp.Compare(a.task, b.task) })
+	slices.SortFunc(late, func(a, b *attempt) int { return cmp.Compare(a.task, b.task) })
 	for _, h := range late {
 		h.again = true // should its connection break now, it isn't sent once more
 		if h.withdraw() {
@@ -156,7 +156,7 @@
 
 // arrived takes a task in.
 func (o *owner) arrived(now admission.Time, t *task) {
-	if o.tasks[t.id] != nil || o.module.Knows(t.id) { // a killed one is known until its hand-off ends
+	if o.tasks[t.id] != nil || o.module.Knows(t.id) { // a killed one is known until its attempt ends
 		t.by.refused("the id is in use")
 		return
 	}
@@ -192,13 +192,13 @@
 	o.module.Arrived(now, t.id, t.cutoff, t.lane, t.tenant, t.key, t.tables, t.foreseen)
 }
 
-// tellEnded queues the end of a hand-off.
-func (o *owner) tellEnded(h *handOff, how admission.Outcome) {
+// tellEnded queues the end of an attempt.
+func (o *owner) tellEnded(h *attempt, how admission.Outcome) {
 	o.tell(func(now admission.Time) { o.ended(now, h, how) })
 }
 
-// ended takes in how a hand-off ended; the first end counts, whatever raced with it.
-func (o *owner) ended(now admission.Time, h *handOff, how admission.Outcome) {
+// ended takes in how an attempt ended; the first end counts, whatever raced with it.
+func (o *owner) ended(now admission.Time, h *attempt, how admission.Outcome) {
 	if h.over {
 		o.givenUp(now, h)
 		return
@@ -236,9 +236,9 @@
 	o.back(now, h, how, how == admission.Delivered, work, memory)
 }
 
-// again sends a hand-off once more that was never written, as its connection broke when it was new: that tells
+// again sends an attempt once more that was never written, as its connection broke when it was new: that tells
 // nothing of the engine. A second time it is over.
-func (o *owner) again(now admission.Time, h *handOff) {
+func (o *owner) again(now admission.Time, h *attempt) {
 	if h.over || h.again {
 		o.ended(now, h, admission.Unreachable)
 		return
@@ -248,15 +248,15 @@
 	h.of.by.carry(h, h.to)
 }
 
-// undoWithin is how long to wait for an engine's word that a hand-off is given up there: a further one that
+// undoWithin is how long to wait for an engine's word that an attempt is given up there: a further one that
 // overtook the undo on another connection would be a second copy. It is as long as a connection may take to
 // come up, and never past the cut-off, after which nothing is sent.
 func (o *owner) undoWithin(now admission.Time, t *task) admission.Time {
 	return max(0, min(admission.Time(o.network.ConnectWithin/tenth), t.cutoff-now))
 }
 
-// givenUp tells the module of a hand-off that was called off or timed out, once the engine has heard of it.
-func (o *owner) givenUp(now admission.Time, h *handOff) {
+// givenUp tells the module of an attempt that was called off or timed out, once the engine has heard of it.
+func (o *owner) givenUp(now admission.Time, h *attempt) {
 	if how := h.doubt; how != admission.Delivered {
 		h.doubt = admission.Delivered
 		h.stop()
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -15,7 +15,7 @@
 	ColdRoom(now admission.Time, engine admission.EngineID, part float64) (room, shared bool)
 	// Due is the owner's timer.
 	Due(now admission.Time)
-	// Sent takes in a hand-off.
+	// Sent takes in an attempt.
 	Sent(now admission.Time, task admission.TaskID, engine admission.EngineID)
 	// Moved takes in where a task of a lane and a class (empty: none) was and is.
 	Moved(lane, class string, was, is Place)
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -24,7 +24,7 @@
 
 func (p *prober) serve() {
 	o := p.e.o
-	for range p.e.bell {
+	for range p.e.wake {
 		how, report := p.guarded()
 		if how != admission.Delivered && how != admission.Unreachable && !p.begun {
 			how, report = p.guarded() // a connection may break and an answer be spoilt once, from a sound engine
@@ -40,7 +40,7 @@
 		return
 	}
 	p.begun = false
-	p.e.o.engineLinks.Add(-1)
+	p.e.o.engineConns.Add(-1)
 	if p.tcp != nil {
 		p.tcp.Close()
 		p.tcp = nil
@@ -68,7 +68,7 @@
 	if !p.begun {
 		p.begun = true
 		p.e.o.connections.Add(1)
-		p.e.o.engineLinks.Add(1)
+		p.e.o.engineConns.Add(1)
 		tcp, err := p.e.o.dial(p.e.address)
 		if err != nil {
 			p.end(endCode(err), nil)
--- a/internal/router/query.go
+++ b/internal/router/query.go
@@ -23,7 +23,7 @@
 		s.amiss(mysql.ErrParse, err.Error())
 		return
 	}
-	if s.o.door.shutting() {
+	if s.o.clients.shutting() {
 		s.code, s.dismissed = "stopped", true
 		s.nack(0)
 		return
@@ -139,7 +139,7 @@
 		if !waiting {
 			return ended
 		}
-		s.tcp.SetReadDeadline(time.Time{}) // a call may have ended the last read; this one doesn't wait
+		s.tcp.SetReadDeadline(time.Time{})                      // a call may have ended the last read; this one doesn't wait
 		if _, err := s.r.Peek(s.r.Buffered() + 1); err != nil { // it has no more room
 			return false
 		}
@@ -156,7 +156,7 @@
 
 func (s *session) do(call func()) { s.mail.Put(call) }
 
-func (s *session) carry(h *handOff, to carrier) {
+func (s *session) carry(h *attempt, to engineClient) {
 	first := !h.again
 	s.mail.Put(func() {
 		if s.departed() { // while this process stood still, say, so that the read has not told yet
@@ -181,7 +181,7 @@
 	s.mail.Put(call)
 }
 
-func (s *session) delivered(h *handOff) {
+func (s *session) delivered(h *attempt) {
 	s.over(func() {
 		s.deliver(h.pages)
 		if s.reader != nil && h.to != nil { // not an answer of before
--- a/internal/router/record.go
+++ b/internal/router/record.go
@@ -40,7 +40,7 @@
 	case standing != ledger.Answered:
 		return false
 	case e.Outcome == ledger.Delivered && e.Whole():
-		t.by.delivered(&handOff{of: t, pages: e.Rows})
+		t.by.delivered(&attempt{of: t, pages: e.Rows})
 	case e.Outcome == ledger.Delivered:
 		t.by.barred("it was delivered before, and its rows are not kept")
 	case e.Outcome == ledger.WrittenOff, e.Outcome == ledger.Left && e.MayRan && o.strict(t):
@@ -65,8 +65,8 @@
 	return true
 }
 
-// going records that a hand-off is about to go out, and has it brought to its engine: at once, or once the record survives.
-func (o *owner) going(h *handOff, name admission.EngineID) {
+// going records that an attempt is about to go out, and has it brought to its engine: at once, or once the record survives.
+func (o *owner) going(h *attempt, name admission.EngineID) {
 	if o.keep != nil {
 		place := o.places[name]
 		if o.keep.Ledger.Going(o.now, h.of.id, place.Zone, place.Group, func(err error) {
@@ -79,8 +79,8 @@
 	h.of.by.carry(h, h.to)
 }
 
-// mayGo brings a hand-off whose record survives to its engine; one whose record may not is never sent.
-func (o *owner) mayGo(now admission.Time, h *handOff, err error) {
+// mayGo brings an attempt whose record survives to its engine; one whose record may not is never sent.
+func (o *owner) mayGo(now admission.Time, h *attempt, err error) {
 	switch {
 	case h.over:
 	case err != nil:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,7 +58,7 @@
 
 func (o *owner) serve(start *deployment.Start, listener net.Listener, stop <-chan struct{},
 	renewed <-chan *deployment.Start) {
-	f := newFollower(o, start.EngineList)
+	f := newWatcher(o, start.EngineList)
 	f.tell(start.Known, admission.Remembered)
 	o.log.Info("serving", "name", start.Name, "address", listener.Addr().String())
 	ended, idle := make(chan struct{}), make(chan struct{})
@@ -91,7 +91,7 @@
 }
 
 // renew goes by a new configuration, as far as one can while serving: the engine list's address and its events.
-func (o *owner) renew(f *follower, start, next *deployment.Start) {
+func (o *owner) renew(f *watcher, start, next *deployment.Start) {
 	for name, same := range map[string]bool{
 		"name": next.Name == start.Name, "limits": next.MemoryMB == start.MemoryMB,
 		"settings": reflect.DeepEqual(next.Site, start.Site) && reflect.DeepEqual(next.Network, start.Network)} {
@@ -119,7 +119,7 @@
 		s.shrink()
 		s.tcp.Close()
 		o.connectionEnded("client", s.tcp.RemoteAddr().String(), s.code, 0, fault)
-		o.door.leave(s)
+		o.clients.leave(s)
 	}()
 	s.serve()
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -459,7 +459,7 @@
 func TestPages(t *testing.T) { // gathered in order, whatever order they come in; one connection carries two tasks
 	e := newEngineStand(t, "e1")
 	s := play(t, e)
-	s.o.tell(func(admission.Time) { s.o.engineRoom = 0 }) // so that hand-offs share connections
+	s.o.tell(func(admission.Time) { s.o.engineRoom = 0 }) // so that attempts share connections
 	a, b, c := s.client(), s.client(), s.client()
 	a.look("aa")
 	k := e.hears()
@@ -875,19 +875,19 @@
 func TestDoor(t *testing.T) {
 	e := newEngineStand(t, "e1")
 	s := play(t, e)
-	s.o.door.mu.Lock()
-	s.o.door.room = 2
-	s.o.door.mu.Unlock()
+	s.o.clients.mu.Lock()
+	s.o.clients.room = 2
+	s.o.clients.mu.Unlock()
 	// The session is in its place some time after its client has heard.
-	until := func(there func(d *door) bool) {
+	until := func(there func(d *connectionLimiter) bool) {
 		for ok := false; !ok; time.Sleep(time.Millisecond) {
-			s.o.door.mu.Lock()
-			ok = there(&s.o.door)
-			s.o.door.mu.Unlock()
+			s.o.clients.mu.Lock()
+			ok = there(&s.o.clients)
+			s.o.clients.mu.Unlock()
 		}
 	}
 	stranger := s.dial()
-	until(func(d *door) bool { return d.in == 1 })
+	until(func(d *connectionLimiter) bool { return d.in == 1 })
 	a := s.client()
 	a.look("aa")
 	k := e.hears()
@@ -899,7 +899,7 @@
 	s.say("a third client has error %d", int(s.dial().packet()[1])|4<<8)
 	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
 	a.gets()
-	until(func(d *door) bool { return d.known.Len() == 1 })
+	until(func(d *connectionLimiter) bool { return d.known.Len() == 1 })
 	c := s.client()
 	s.say("the first client has the %s", a.packet())
 	e.says(m, "00000000000000bb", "data", "pages=1,cost=120,need=64", "d\te\tf\n")
@@ -913,7 +913,7 @@
 func TestBurst(t *testing.T) {
 	s := &stage{t: t}
 	l := s.listen()
-	d := door{room: 3}
+	d := connectionLimiter{room: 3}
 	var in []*session
 	for n, says := range []string{"hello", "", "", "hello", "hello", "hello"} {
 		c, err := net.Dial("tcp", l.Addr().String())
@@ -958,7 +958,7 @@
 	s.o.tell(func(now admission.Time) {
 		defer close(done)
 		o, rng := s.o, rand.New(rand.NewSource(1))
-		var out []*handOff
+		var out []*attempt
 		for n := range 20000 {
 			name := admission.EngineID(fmt.Sprint("e", rng.Intn(5)))
 			switch rng.Intn(8) {
@@ -996,7 +996,7 @@
 					out = append(out, h)
 				}
 			}
-			out = slices.DeleteFunc(out, func(h *handOff) bool { return h.over && h.doubt == admission.Delivered })
+			out = slices.DeleteFunc(out, func(h *attempt) bool { return h.over && h.doubt == admission.Delivered })
 			copies := map[admission.TaskID]int{}
 			for _, h := range out {
 				if copies[h.task]++; copies[h.task] == 2 {
@@ -1083,10 +1083,10 @@
 	}
 	for kept := -1; kept != 0; time.Sleep(time.Millisecond) {
 		s.o.tell(func(admission.Time) {
-			kept = len(s.o.sessions) + len(s.o.tasks) + len(s.o.engines) + int(s.o.engineLinks.Load())
-			s.o.door.mu.Lock()
-			kept += s.o.door.in
-			s.o.door.mu.Unlock()
+			kept = len(s.o.sessions) + len(s.o.tasks) + len(s.o.engines) + int(s.o.engineConns.Load())
+			s.o.clients.mu.Lock()
+			kept += s.o.clients.in
+			s.o.clients.mu.Unlock()
 			s.clock.mu.Lock()
 			kept += len(s.clock.timers) - 1 // the module's own
 			s.clock.mu.Unlock()
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -32,7 +32,7 @@
 	turns      int       // queries refused or given up in a row
 	turnedAway time.Time // and when the last was
 
-	// Guarded by the door.
+	// Guarded by the connection limiter.
 	line      *list.List
 	place     *list.Element
 	asked     bool // it has had an answer to a command
@@ -43,7 +43,7 @@
 	waiting  bool
 	// It ended without an answer, as its client left or was taken to have left.
 	unanswered bool
-	made       []*handOff
+	made       []*attempt
 
 	reader Reader // nil: statements are not read
 
@@ -120,13 +120,13 @@
 		time.Sleep(rest)
 	}
 	s.shrink()
-	s.o.door.rest(s)
+	s.o.clients.rest(s)
 	head, err := s.r.Peek(mysql.HeadSize)
 	if errors.Is(err, os.ErrDeadlineExceeded) && speaks(s.tcp) { // it came as the time ran out, or while this process stood still
 		s.tcp.SetReadDeadline(time.Now().Add(lastLook))
 		head, err = s.r.Peek(mysql.HeadSize)
 	}
-	if !s.o.door.work(s) {
+	if !s.o.clients.work(s) {
 		s.code = "displaced"
 		return false
 	}
@@ -161,7 +161,7 @@
 	switch {
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		s.code = endCode(err)
-	case s.o.door.shutting():
+	case s.o.clients.shutting():
 		s.code = "stopped"
 	case s.r.Buffered() > 0:
 		s.dismiss("idle", mysql.ErrParse, "the head of a packet was cut short")
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -30,8 +30,8 @@
 	}
 	wait(time.After(lastRequests))
 	a.stop() // the address is free for a successor while requests still run here
-	o.door.shut()
-	for !o.door.empty() {
+	o.clients.shut()
+	for !o.clients.empty() {
 		wait(time.After(stopPace))
 	}
 }
--- a/internal/router/shutdown_test.go
+++ b/internal/router/shutdown_test.go
@@ -68,7 +68,7 @@
 	if got := strings.Count(s.out.String(), "client gets: rows"); got != waiting {
 		t.Errorf("%d of %d served:\n%s", got, waiting, s.out.String())
 	}
-	s.o.door.shut()
+	s.o.clients.shut()
 	for i, c := range clients {
 		if err := c.ends(); err != io.EOF {
 			t.Errorf("client %d: %v", i, err)
@@ -84,7 +84,7 @@
 	a := s.client()
 	a.look("aa")
 	k := e.hears()
-	s.o.door.shut()
+	s.o.clients.shut()
 	a.look("bb") // on its way while the other is in hand
 	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
 	a.gets()
@@ -102,11 +102,11 @@
 // A request that crosses the end of its session is read, so that the connection is not reset under what went before.
 func TestEndOfSessionIsNoReset(t *testing.T) {
 	for what, end := range map[string]func(s *stage){
-		"stop": func(s *stage) { s.o.door.shut() },
+		"stop": func(s *stage) { s.o.clients.shut() },
 		"displaced": func(s *stage) {
-			s.o.door.mu.Lock()
-			defer s.o.door.mu.Unlock()
-			s.o.door.displace(s.o.door.known.Front().Value.(*session))
+			s.o.clients.mu.Lock()
+			defer s.o.clients.mu.Unlock()
+			s.o.clients.displace(s.o.clients.known.Front().Value.(*session))
 		},
 	} {
 		t.Run(what, func(t *testing.T) {
@@ -117,9 +117,9 @@
 			a.send(0, []byte{0x0e})
 			a.packet()
 			eventually(t, "the session rests", func() bool {
-				s.o.door.mu.Lock()
-				defer s.o.door.mu.Unlock()
-				return s.o.door.known.Len() == 1
+				s.o.clients.mu.Lock()
+				defer s.o.clients.mu.Unlock()
+				return s.o.clients.known.Len() == 1
 			})
 			end(s)
 			if err := a.ends(); err != io.EOF {
@@ -146,10 +146,10 @@
 func TestTurnedAwayIsNoReset(t *testing.T) {
 	s := play(t)
 	defer s.close()
-	s.o.door.mu.Lock()
-	s.o.door.room = 1
-	s.o.door.in = 1 // one in the middle of a query
-	s.o.door.mu.Unlock()
+	s.o.clients.mu.Lock()
+	s.o.clients.room = 1
+	s.o.clients.in = 1 // one in the middle of a query
+	s.o.clients.mu.Unlock()
 	listener := s.listen()
 	c, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
@@ -170,9 +170,9 @@
 	if err := k.ends(); err != io.EOF {
 		t.Errorf("the connection ended with %v", err)
 	}
-	s.o.door.mu.Lock()
-	s.o.door.in = 0
-	s.o.door.mu.Unlock()
+	s.o.clients.mu.Lock()
+	s.o.clients.in = 0
+	s.o.clients.mu.Unlock()
 }
 
 // A new configuration counts during a stop: drains are told at the address that it names.
@@ -207,7 +207,7 @@
 	a.look("aa")
 	k := e.hears()
 	close(s.stop)
-	eventually(t, "the door is shut", s.o.door.shutting)
+	eventually(t, "the router refuses requests", s.o.clients.shutting)
 	successor, err := net.Listen("tcp", s.addr)
 	if err != nil {
 		t.Fatalf("a successor can't listen: %v", err)
@@ -217,9 +217,9 @@
 	a.gets()
 	<-s.ended
 	var n int
-	s.o.door.mu.Lock()
-	n = s.o.door.in + s.o.door.leaving
-	s.o.door.mu.Unlock()
+	s.o.clients.mu.Lock()
+	n = s.o.clients.in + s.o.clients.leaving
+	s.o.clients.mu.Unlock()
 	if n != 0 {
 		t.Errorf("%d connections left", n)
 	}
--- a/internal/router/task.go
+++ b/internal/router/task.go
@@ -2,19 +2,19 @@
 
 import "magpiebank/internal/admission"
 
-// The owner sits between fronts, which hand tasks in and are told their final answers, and carriers, which bring hand-offs to
+// The owner sits between fronts, which hand tasks in and are told their final answers, and engine clients, which bring attempts to
 // engines and tell how they ended. It knows the protocol of neither.
 
-// asker is who asked for a task and is owed its answer: a session of a front. The owner calls it and never waits; each
+// responder is who asked for a task and is owed its answer: a session of a front. The owner calls it and never waits; each
 // task gets exactly one of delivered, nacked, writtenOff, barred, refused and left.
-type asker interface {
-	// do has the asker's goroutine make a call. What is written to engines on a task's behalf is written there.
+type responder interface {
+	// do has the responder's goroutine make a call. What is written to engines on a task's behalf is written there.
 	do(call func())
-	// carry has the asker's goroutine bring a hand-off to an engine, unless who asked has gone.
-	carry(h *handOff, to carrier)
+	// carry has the responder's goroutine bring an attempt to an engine, unless who asked has gone.
+	carry(h *attempt, to engineClient)
 	// gone tells whether who asked can be seen to have gone; from any goroutine.
 	gone() bool
-	delivered(h *handOff)
+	delivered(h *attempt)
 	nacked(comeBack admission.Time)
 	writtenOff()
 	barred(why string)  // an operator's rule has this for its answer
@@ -22,9 +22,9 @@
 	left()              // nobody waits any more
 }
 
-// carrier brings hand-offs to one engine, and tells the owner by tellEnded, again and the module's Noted what becomes of them.
-type carrier interface {
-	send(h *handOff) // by the asker's goroutine; so are undo, bump and forget of the hand-off
+// engineClient brings attempts to one engine, and tells the owner by tellEnded, again and the module's Noted what becomes of them.
+type engineClient interface {
+	send(h *attempt) // by the responder's goroutine; so are undo, bump and forget of the attempt
 	probe()          // asks for a report, if that isn't under way
 	where() string   // the address
 	retire()         // nothing new comes; what is out ends by itself
@@ -34,7 +34,7 @@
 // task is one that was taken and has no final answer yet. It is the owner's, but for what doesn't change.
 type task struct {
 	id        admission.TaskID
-	by        asker
+	by        responder
 	lane      int
 	name      string // of the lane
 	statement []byte
@@ -46,12 +46,12 @@
 	reader    Reader // nil: its statement wasn't read
 
 	tries    int
-	out      *handOff
+	out      *attempt
 	memory   float64
 	rank     int
 	foreseen admission.Foreseen
 	class    int   // of the desk's; 0: none
-	held     bool  // in a class, with no hand-off out
+	held     bool  // in a class, with no attempt out
 	place    Place // as the peers know it
 	over     bool  // it has its final answer
 	left     bool  // nobody waits for it
--- a/internal/router/follow.go
+++ b/internal/router/watch.go
@@ -12,12 +12,12 @@
 	"magpiebank/internal/sheet"
 )
 
-// follower polls the engine list. Its goroutine owns held and amiss.
-type follower struct {
+// watcher polls the engine list. Its goroutine owns held and amiss.
+type watcher struct {
 	o     *owner
 	held  int64 // number of the last event that was taken in
 	amiss int   // how many times in a row the event after it could not be read
-	quiet lull
+	quiet logLimiter
 
 	mu      sync.Mutex
 	address string
@@ -26,12 +26,12 @@
 	moved   chan struct{} // rung by a new configuration
 }
 
-func newFollower(o *owner, address string) *follower {
-	return &follower{o: o, address: address, moved: make(chan struct{}, 1)}
+func newWatcher(o *owner, address string) *watcher {
+	return &watcher{o: o, address: address, moved: make(chan struct{}, 1)}
 }
 
 // move goes on at another address, with the events that a new configuration knows.
-func (f *follower) move(address string, known *sheet.Sheet) {
+func (f *watcher) move(address string, known *sheet.Sheet) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.known = known
@@ -49,7 +49,7 @@
 const mostAmiss = 8
 
 // tell takes in events; whole is the form of those that hold the whole list. It tells whether all could be read.
-func (f *follower) tell(s *sheet.Sheet, whole admission.Form) bool {
+func (f *watcher) tell(s *sheet.Sheet, whole admission.Form) bool {
 	held := f.held
 	f.held = enginelist.Events(s, held, f.amiss >= mostAmiss, f.o.network.Zones, f.o.network.Kinds,
 		func(all bool, list []admission.Listing, addresses []string) {
@@ -75,7 +75,7 @@
 
 // serve polls until stop is closed. A connection that brought something and ended is followed by the next at
 // once, as what the list could not finish counts as told soon; others begin no more often than one may take to come up.
-func (f *follower) serve(stop <-chan struct{}) {
+func (f *watcher) serve(stop <-chan struct{}) {
 	for {
 		select { // a wait of nothing and the stop may come together
 		case <-stop:
@@ -111,33 +111,33 @@
 // begin no more often than one may take to come up. A longer rest would be added to what drains are told late.
 func restBefore(took, within time.Duration) time.Duration { return max(0, within-took) }
 
-// lull tells which of many failures in a row are worth a line: the first, and then ever fewer.
-type lull struct {
+// logLimiter tells which of many failures in a row are worth a line: the first, and then ever fewer.
+type logLimiter struct {
 	rest time.Duration // until the next line, doubled each time
 	next time.Time
 }
 
 // A list that is away for long has a line each minute: by then everybody knows.
 const (
-	firstLull = time.Second
-	mostLull  = time.Minute
+	firstRest = time.Second
+	mostRest  = time.Minute
 )
 
-func (l *lull) due(now time.Time, useful bool) bool {
+func (l *logLimiter) due(now time.Time, useful bool) bool {
 	switch {
 	case useful:
-		*l = lull{}
+		*l = logLimiter{}
 	case now.Before(l.next):
 		return false
 	default:
-		l.rest = min(max(firstLull, 2*l.rest), mostLull)
+		l.rest = min(max(firstRest, 2*l.rest), mostRest)
 		l.next = now.Add(l.rest)
 	}
 	return true
 }
 
 // connect polls on one connection until it ends, and tells whether a poll was answered on it.
-func (f *follower) connect(life context.Context, address string, stop <-chan struct{}) (useful bool) {
+func (f *watcher) connect(life context.Context, address string, stop <-chan struct{}) (useful bool) {
 	code := "panic"
 	f.o.connections.Add(1)
 	defer func() {
@@ -155,7 +155,7 @@
 	return useful
 }
 
-func (f *follower) poll(life context.Context, address string, stop <-chan struct{}) (useful bool, code string) {
+func (f *watcher) poll(life context.Context, address string, stop <-chan struct{}) (useful bool, code string) {
 	within := f.o.network.ConnectWithin
 	dialer := net.Dialer{Timeout: within}
 	tcp, err := dialer.DialContext(life, "tcp", address)
--- a/internal/router/follow_test.go
+++ b/internal/router/watch_test.go
@@ -34,7 +34,7 @@
 	return k
 }
 
-// A new configuration that comes while the follower rests after a refused connection is gone by at once: the events that it knows
+// A new configuration that comes while the watcher rests after a refused connection is gone by at once: the events that it knows
 // count as told.
 func TestReloadWhileTheListIsDown(t *testing.T) {
 	long := strings.Replace(settings, `"connectTimeoutUs":250000`, `"connectTimeoutUs":60000000`, 1) // which the rest is, too
@@ -86,7 +86,7 @@
 	}
 }
 
-// A stop ends the follower also while it rests or a poll is out.
+// A stop ends the watcher also while it rests or a poll is out.
 func TestStopEndsTheFollower(t *testing.T) {
 	s := play(t)
 	defer s.close()
