--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -8,7 +8,7 @@
 	"magpiebank/internal/admission"
 )
 
-// engine is one engine's connections. A attempt has one of its own while descriptors allow, else it shares one with as
+// engine is one engine's connections. An attempt has one of its own while descriptors allow, else it shares one with as
 // many as the site allows; probes have one of their own.
 type engine struct {
 	o       *owner
--- a/internal/router/engine_conn.go
+++ b/internal/router/engine_conn.go
@@ -41,7 +41,7 @@
 const mostPieces = 4
 
 // arm sets the time until which the connection may bring nothing. An answer that is there in part, or the word that
-// an undo was heard, has as long as a connection to come up. A attempt that isn't over brings notes at the engine's
+// an undo was heard, has as long as a connection to come up. An attempt that isn't over brings notes at the engine's
 // pace, which scatters by half of it: after twice the pace its answer is lost, and with it the connection. Else it
 // rests until the engine would close it; one to a retired engine does not.
 func (l *engineConn) arm() {
