What came during a stall of the process is read, and what is owed is written

By reading, for a process that stands still longer than a deadline: Go ends a read or write by its deadline without trying it, so session.read (second look of 0.1 s), its body, engineConn.read, prober.ask, session.write and engineConn.write took their own stall for the peer's silence; connectionLimiter.rest set a deadline that had passed when the login was slow, and ended a client that had just got its OK.

Now what the system has got is read without waiting (readArrived), a write is tried once more (writeBy), and a first query has 0.1 s in any case. The six tests of stall_test.go force the stall at its line by connections whose deadlines have passed once set; each was seen to fail on the code before. 200 runs under -race: pass.

--- a/internal/router/engine_conn.go
+++ b/internal/router/engine_conn.go
@@ -119,8 +119,7 @@
 	if buffers == nil {
 		return
 	}
-	l.tcp.SetWriteDeadline(time.Now().Add(l.e.o.network.ConnectWithin))
-	n, err := buffers.WriteTo(l.tcp)
+	n, err := writeBy(l.tcp, time.Now().Add(l.e.o.network.ConnectWithin), buffers)
 	if err == nil {
 		return
 	}
@@ -256,6 +255,10 @@
 			r.Discard(n)
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			return endCode(err)
+		case speaks(l.tcp): // it came while this process stood still
+			if err := readArrived(l.tcp, r, r.Buffered()+1); err != nil {
+				return endCode(err)
+			}
 		case !last.IsZero():
 			if code := l.rest(); code != "" {
 				return code
--- a/internal/router/limiter.go
+++ b/internal/router/limiter.go
@@ -141,6 +141,9 @@
 	by := time.Now().Add(idleClient)
 	if !s.asked {
 		by = s.began.Add(firstQuery)
+		if soonest := time.Now().Add(lastLook); by.Before(soonest) { // this process was slow to read the login, not its client
+			by = soonest
+		}
 	}
 	if last := time.Now().Add(lastLook); d.closing && last.Before(by) {
 		by = last
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -89,6 +89,11 @@
 		var n int
 		var err error
 		if parts, n, err = nextAnswer(p.r, parts, func() {}); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) && speaks(p.tcp) { // it came while this process stood still
+				if err = readArrived(p.tcp, p.r, p.r.Buffered()+1); err == nil {
+					continue
+				}
+			}
 			p.end(endCode(err), nil)
 			switch {
 			case errors.Is(err, resp.ErrArray):
--- a/internal/router/query.go
+++ b/internal/router/query.go
@@ -134,16 +134,11 @@
 
 // departed tells whether the client has left already, also behind commands that came early.
 func (s *session) departed() bool {
-	for {
-		waiting, ended := look(s.tcp)
-		if !waiting {
-			return ended
-		}
-		s.tcp.SetReadDeadline(time.Time{})                      // a call may have ended the last read; this one doesn't wait
-		if _, err := s.r.Peek(s.r.Buffered() + 1); err != nil { // it has no more room
-			return false
-		}
+	if err := readArrived(s.tcp, s.r, mostAhead); err != nil {
+		return false // the next read tells why
 	}
+	_, ended := look(s.tcp)
+	return ended
 }
 
 // ahead tells of commands that came before the answer to the one in hand; that the client leaves then is fine.
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -121,11 +121,7 @@
 	}
 	s.shrink()
 	s.o.clients.rest(s)
-	head, err := s.r.Peek(mysql.HeadSize)
-	if errors.Is(err, os.ErrDeadlineExceeded) && speaks(s.tcp) { // it came as the time ran out, or while this process stood still
-		s.tcp.SetReadDeadline(time.Now().Add(lastLook))
-		head, err = s.r.Peek(mysql.HeadSize)
-	}
+	head, err := s.peekHead()
 	if !s.o.clients.work(s) {
 		s.code = "displaced"
 		return false
@@ -148,7 +144,11 @@
 			return false
 		}
 		n, err := s.r.Read(s.payload[len(s.payload):min(length, cap(s.payload))])
-		if s.payload = s.payload[:len(s.payload)+n]; err != nil {
+		s.payload = s.payload[:len(s.payload)+n]
+		if errors.Is(err, os.ErrDeadlineExceeded) && speaks(s.tcp) { // it came while this process stood still
+			err = readArrived(s.tcp, s.r, 1)
+		}
+		if err != nil {
 			s.endCutShort(err)
 			return false
 		}
@@ -156,6 +156,19 @@
 	return true
 }
 
+// peekHead waits for the head of the next packet. One that has begun to come as the time runs out has lastLook to become whole.
+func (s *session) peekHead() ([]byte, error) {
+	head, err := s.r.Peek(mysql.HeadSize)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !speaks(s.tcp) {
+		return head, err
+	}
+	if err := readArrived(s.tcp, s.r, mysql.HeadSize); err != nil {
+		return nil, err
+	}
+	s.tcp.SetReadDeadline(time.Now().Add(lastLook))
+	return s.r.Peek(mysql.HeadSize)
+}
+
 // endUnread ends a session that waited for a packet, of which nothing or less than its head came.
 func (s *session) endUnread(err error) {
 	switch {
@@ -208,9 +221,7 @@
 	if s.answerBy.After(by) {
 		by = s.answerBy
 	}
-	s.tcp.SetWriteDeadline(by)
-	buffers := net.Buffers(packets)
-	if _, err := buffers.WriteTo(s.tcp); err != nil && s.code == "" {
+	if _, err := writeBy(s.tcp, by, packets); err != nil && s.code == "" {
 		s.code = "write_failed"
 	}
 }
--- /dev/null
+++ b/internal/router/stall_test.go
@@ -0,0 +1,294 @@
+package router
+
+import (
+	"bytes"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"magpiebank/internal/admission"
+	"magpiebank/internal/mysql"
+	"magpiebank/internal/resp"
+)
+
+// lateConn is a connection of a process that stands still right after it has set a deadline, for longer than that: while it is armed,
+// each deadline has passed once it is set.
+type lateConn struct {
+	*net.TCPConn
+	mu       sync.Mutex
+	reads    bool // read deadlines are late
+	writes   bool // the next write deadline is late
+	deadline time.Time
+	set      int            // how often a read deadline was set
+	standing chan chan bool // holds where the next read deadline waits to be let go on, if it is to stand still before it is set
+}
+
+func (c *lateConn) SetReadDeadline(t time.Time) error {
+	select {
+	case goOn := <-c.standing:
+		goOn <- true
+		<-goOn
+	default:
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	c.set++
+	if c.reads && !t.IsZero() {
+		t = longAgo
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+func (c *lateConn) SetDeadline(t time.Time) error {
+	c.SetReadDeadline(t)
+	return c.SetWriteDeadline(t)
+}
+
+func (c *lateConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writes {
+		t = longAgo
+	}
+	c.writes = false
+	return c.TCPConn.SetWriteDeadline(t)
+}
+
+// arm has deadlines be late from now on, or not any more.
+func (c *lateConn) arm(reads, writes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reads, c.writes = reads, writes
+}
+
+// rests tells whether a session waits for its first query: it has set deadlines for the head of the login, its rest, and that.
+func (c *lateConn) rests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.set == 3
+}
+
+// standStill has the process stand still before the next line that sets a read deadline. stands returns once it is there; goOn has it go on,
+// with deadlines that are late from then on.
+func (c *lateConn) standStill() (stands, goOn func()) {
+	there := make(chan bool)
+	c.standing <- there
+	return func() { <-there }, func() {
+		c.arm(true, false)
+		there <- true
+	}
+}
+
+// late makes a connection one of a process that stands still.
+func late(tcp net.Conn) *lateConn {
+	return &lateConn{TCPConn: tcp.(*net.TCPConn), standing: make(chan chan bool, 1)}
+}
+
+// lateClient logs in on a connection whose router may stand still.
+func (s *stage) lateClient() (*client, *lateConn) {
+	listener := s.listen()
+	accepted := make(chan *lateConn)
+	go func() {
+		tcp, err := listener.Accept()
+		if err != nil {
+			s.t.Error(err)
+		}
+		conn := late(tcp)
+		(&acceptor{o: s.o}).welcome(conn)
+		accepted <- conn
+	}()
+	address := s.addr
+	s.addr = listener.Addr().String()
+	c := s.client()
+	s.addr = address
+	return c, <-accepted
+}
+
+// arrived waits until something unread lies at a connection.
+func arrived(t *testing.T, tcp net.Conn) {
+	t.Helper()
+	eventually(t, "the bytes are there", func() bool { return speaks(tcp) })
+}
+
+// served asks for one look-up and has the engine answer it.
+func (s *stage) served(c *client, e *standEngine, id string) {
+	s.t.Helper()
+	select {
+	case h := <-e.heard:
+		e.says(h.c, "00000000000000"+id, "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	case <-time.After(patience):
+		s.t.Fatalf("the engine heard nothing, log:\n%s", s.log.String())
+	}
+	c.isServed()
+}
+
+// isServed waits for the first packet of a result.
+func (c *client) isServed() {
+	c.s.t.Helper()
+	c.c.SetReadDeadline(time.Now().Add(patience))
+	if p := c.packet(); p[0] != 3 {
+		c.s.t.Fatalf("the client got %q, log:\n%s", p, c.s.log.String())
+	}
+}
+
+// A request that lies unread as its session's time runs out is served, however long the process stands still before each of the reads.
+func TestRequestThatCameDuringAStallIsServed(t *testing.T) {
+	long := bytes.Repeat([]byte("x"), 3*mostAhead)
+	for what, statement := range map[string]string{"short": "SELECT a FROM t_7.x", "longer than what is read ahead": "SELECT '" + string(long) + "' FROM t_7.x"} {
+		t.Run(what, func(t *testing.T) {
+			e := newEngineStand(t, "e1")
+			s := play(t, e)
+			defer s.close()
+			c, conn := s.lateClient()
+			eventually(t, "the session rests", conn.rests)
+			stands, goOn := conn.standStill()
+			c.send(0, []byte{mysql.Ping})
+			stands()
+			c.send(0, append([]byte{mysql.Query}, "/* class=look,id=00000000000000aa,wait=5000 */ "+statement...))
+			arrived(t, conn)
+			goOn()
+			if p := c.packet(); p[0] != 0 {
+				t.Fatalf("the client got %q", p)
+			}
+			s.served(c, e, "aa")
+		})
+	}
+}
+
+// Whoever logs in to a router that is slow to read it still has a while for the first query.
+func TestSlowRouterLeavesTimeForTheFirstQuery(t *testing.T) {
+	s := play(t)
+	defer s.close()
+	_, conn := s.lateClient()
+	eventually(t, "the session waits for its first query", conn.rests)
+	rested := &session{o: s.o, tcp: conn, r: newReader(conn), began: time.Now().Add(-2 * firstQuery)} // its login took so long
+	before := time.Now()
+	s.o.clients.rest(rested)
+	s.o.clients.work(rested)
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	if got := conn.deadline.Sub(before); got < lastLook {
+		t.Errorf("it has %v", got)
+	}
+}
+
+// An answer goes out although the process stands still right before the write for longer than that may take.
+func TestAnswerIsWrittenAfterAStall(t *testing.T) {
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	defer s.close()
+	c, conn := s.lateClient()
+	c.look("aa")
+	k := e.hears()
+	conn.arm(false, true)
+	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	c.isServed()
+}
+
+// lateEngine has the router reach an engine by connections that it may stand still with; it tells of each.
+func (s *stage) lateEngine() <-chan *lateConn {
+	conns := make(chan *lateConn, 8)
+	s.o.tell(func(admission.Time) {
+		dial := s.o.dial
+		s.o.dial = func(address string) (net.Conn, error) {
+			tcp, err := dial(address)
+			if err != nil {
+				return nil, err
+			}
+			conn := late(tcp)
+			conns <- conn
+			return conn, nil
+		}
+	})
+	s.sync()
+	return conns
+}
+
+// An attempt goes out on a connection although the process stands still right before the write.
+func TestAttemptIsWrittenAfterAStall(t *testing.T) {
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	defer s.close()
+	conns := s.lateEngine()
+	c := s.client()
+	c.look("aa")
+	s.served(c, e, "aa")
+	c.drain()
+	(<-conns).arm(false, true)
+	c.look("bb")
+	s.served(c, e, "bb")
+	if len(conns) > 0 {
+		t.Error("it was written on another connection")
+	}
+}
+
+// drain reads the rest of an answer whose first packet was read.
+func (c *client) drain() {
+	for ends := 0; ends < 2; {
+		if p := c.packet(); p[0] == 0xfe {
+			ends++
+		}
+	}
+}
+
+// The rest of an answer that lies unread as its time runs out counts, however long the process stands still before each of the reads.
+func TestAnswerThatCameDuringAStallCounts(t *testing.T) {
+	e := newEngineStand(t, "e1")
+	s := play(t, e)
+	defer s.close()
+	conns := s.lateEngine()
+	c := s.client()
+	c.look("aa")
+	k := e.hears()
+	conn := <-conns
+	answer := resp.Array(nil, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
+	stands, goOn := conn.standStill()
+	k.Write(answer[:9])
+	stands()
+	k.Write(answer[9:])
+	arrived(t, conn)
+	goOn()
+	c.isServed()
+}
+
+// A probe's answer that lies unread as its time runs out counts.
+func TestProbeAnsweredDuringAStallCounts(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	far := make(chan net.Conn, 1)
+	go func() {
+		tcp, err := listener.Accept()
+		if err == nil {
+			far <- tcp
+		}
+	}()
+	s := play(t)
+	defer s.close()
+	dialled := make(chan *lateConn, 1)
+	s.o.dial = func(address string) (net.Conn, error) {
+		tcp, err := net.Dial("tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		conn := late(tcp)
+		engine := <-far
+		defer func() { far <- engine }()
+		engine.Write(resp.Array(nil, "top1", "well", "gauges=util:0.2", "")) // it is there before the wait begins
+		arrived(t, conn)
+		conn.arm(true, false)
+		dialled <- conn
+		return conn, nil
+	}
+	p := &prober{e: &engine{o: s.o, name: "e1", address: listener.Addr().String()}}
+	how, report := p.ask()
+	if how != admission.Delivered || report.Util != 0.2 {
+		t.Errorf("the probe ended as %v with %+v", how, report)
+	}
+	(<-dialled).Close()
+	(<-far).Close()
+}
