Gateways write down when they were woken late, and that disturbs a scenario too

The fleet's goroutine, which looks every 20 ms, now writes into its history (laboratory only) that it was woken over 100 ms late. The longest such delay counts with the laboratory's own, but for processes that a scenario has stand still.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -76,6 +76,7 @@
 	paidAt   admission.Time
 	dropped  map[error]int
 	lookedAt admission.Time
+	wokeAt   int64          // the same, by the clock of histories, where there is one
 	deafTo   admission.Time // until when evidence is not taken
 	saidAt   time.Time
 	listed   map[admission.EngineID]admission.Time // as the history has them
@@ -295,6 +296,21 @@
 		f.deafTo = at + moment
 	}
 	f.lookedAt = max(f.lookedAt, at)
+	f.noteWake()
+}
+
+// noteWake writes down that the goroutine was woken late, by the clock of all histories. It tells a reader of them what the machine was
+// too busy for.
+func (f *Fleet) noteWake() {
+	const late = 100 * time.Millisecond // it looks every pace
+	if f.history == nil {
+		return
+	}
+	now := history.Now()
+	if gap := now - f.wokeAt; f.wokeAt > 0 && gap >= int64(late) {
+		f.history.Write(history.Event{What: history.Woke, Age: gap})
+	}
+	f.wokeAt = now
 }
 
 // run is the fleet's goroutine.
--- /dev/null
+++ b/internal/fleet/wake_test.go
@@ -0,0 +1,31 @@
+package fleet
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	"magpiebank/internal/history"
+)
+
+// A goroutine that was woken late says so once in the history, and one in time says nothing.
+func TestLateWakeIsWrittenDown(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "g0.history")
+	writer, err := history.Open(path, "g0", 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &Fleet{history: writer}
+	f.noteWake()
+	f.wokeAt -= int64(time.Second)
+	f.noteWake()
+	f.wokeAt += int64(time.Hour)
+	f.noteWake()
+	if err := writer.Close(); err != nil {
+		t.Fatal(err)
+	}
+	events, err := history.Merge(path)
+	if err != nil || len(events) != 1 || events[0].What != history.Woke || events[0].Age < int64(time.Second) {
+		t.Errorf("found %+v, %v", events, err)
+	}
+}
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -58,6 +58,7 @@
 	Stands  = "stands"  // Number: of the policy that it goes by, Of: its era, Good: it holds a lease on it
 	Decided = "decided" // Code: taken, refused, crowded, sent or unsure; Task, Number: of the policy that it was decided by (-1: by none), Out: by what that one and a proposal after it allow
 	Wrote   = "wrote"   // Task: a hand-off that was decided is written
+	Woke    = "woke"    // Age: it looked at what there is to do so long after the look before, far more than its pace
 	Ended   = "ended"   // the process stopped by itself
 )
 
--- a/internal/scenario/disturbance.go
+++ b/internal/scenario/disturbance.go
@@ -1,9 +1,14 @@
 package scenario
 
 import (
+	"path"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"magpiebank/internal/history"
 )
 
 // connectWithin is how long a connection between the processes of a scenario may take to come up: the shortest time limit that they keep.
@@ -53,8 +58,32 @@
 	return time.Duration(m.longest.Load())
 }
 
-// Disturbed tells whether the machine was too busy for the run's times to mean anything: the laboratory itself was later than the
-// shortest time limit between the processes.
+// wakeDelay is the longest delay that gateways wrote down of themselves, but for those that the scenario itself has stand still.
+func (s *Scenario) wakeDelay(events []history.Event) time.Duration {
+	longest := int64(0)
+	for i := range events {
+		if e := &events[i]; e.What == history.Woke && e.Age > longest && !s.stands(e.Label) {
+			longest = e.Age
+		}
+	}
+	return time.Duration(longest)
+}
+
+// stands tells whether a scenario has a process stand still, or may have.
+func (s *Scenario) stands(label string) bool {
+	if s.Dies != "" && strings.Contains(s.Dies, "stop") {
+		return true
+	}
+	for _, step := range s.Steps {
+		if step.Do == "stop" && slices.ContainsFunc(step.Gateways, func(name string) bool { fits, _ := path.Match(name, label); return fits }) {
+			return true
+		}
+	}
+	return false
+}
+
+// Disturbed tells whether the machine was too busy for the run's times to mean anything: the laboratory itself, or a gateway, was woken
+// later than the shortest time limit between the processes.
 func (r *Result) Disturbed() bool { return r.WakeDelay >= connectWithin }
 
 // Repeat tells whether a run has to be played again, as it was disturbed and violated nothing but what rests on time. What must hold
--- a/internal/scenario/disturbance_test.go
+++ b/internal/scenario/disturbance_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"magpiebank/internal/history"
 )
 
 // Only a disturbed run in which nothing but time was missed is played again.
@@ -63,3 +65,18 @@
 		t.Errorf("entered beside %d", got)
 	}
 }
+
+// What gateways wrote down of themselves counts, but for those that the scenario has stand still.
+func TestGatewaysWokenLateDisturbARun(t *testing.T) {
+	woke := func(label string, after time.Duration) history.Event {
+		return history.Event{What: history.Woke, Label: label, Age: int64(after)}
+	}
+	events := []history.Event{woke("g0", 3*time.Second), woke("g1", time.Second), woke("g2", 2*time.Second), {What: history.Saw, Label: "g1", Age: int64(time.Hour)}}
+	s := &Scenario{Steps: []Step{{Do: "stop", Gateways: []string{"g0"}}, {Do: "kill", Gateways: []string{"g2"}}}}
+	if got := s.wakeDelay(events); got != 2*time.Second {
+		t.Errorf("%v", got)
+	}
+	if got := (&Scenario{Dies: "leading yielding 0 stop"}).wakeDelay(events); got != 0 {
+		t.Errorf("%v where any may be stopped", got)
+	}
+}
