Router: requests, classes, deadlines and answers are named as the field names them

task is request, lane class (the operator's class is policyClass), cutoff deadline, patience timeout; a responder is served, rejected, failed, denied or refused; hand-offs are attempts; revoke ends an attempt that must not be written any more. docs/architecture.md reads in these words. Names and comments alone: log lines, wire bytes and decisions as before.

--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -38,7 +38,7 @@
 // be read; where one can't, what follows on the connection is of no more use.
 func (l *engineConn) answer(parts [][]byte) bool {
 	e := l.e
-	task := admission.TaskID(parts[0])
+	request := admission.TaskID(parts[0])
 	var fields, body []byte
 	if len(parts) > 2 {
 		fields = parts[2]
@@ -48,7 +48,7 @@
 	}
 	e.mu.Lock()
 	l.asked, l.heard, l.begun = time.Time{}, time.Now(), time.Time{}
-	h := l.open[task]
+	h := l.open[request]
 	done := h == nil || h.done
 	undone := !done && h.undone
 	e.mu.Unlock()
@@ -73,7 +73,7 @@
 		}
 		news, value, ok := resp.News(fields)
 		if ok {
-			e.o.tell(func(now admission.Time) { e.o.module.Noted(now, task, h.n, news, value) })
+			e.o.tell(func(now admission.Time) { e.o.module.Noted(now, request, h.n, news, value) })
 		}
 	case "data":
 		return l.first(h, fields, body)
@@ -150,7 +150,7 @@
 		l.write(func() net.Buffers {
 			var asks []byte
 			for n := 1; n < all; n++ {
-				asks = append(asks, resp.Array(nil, "page", string(h.task), strconv.Itoa(n))...)
+				asks = append(asks, resp.Array(nil, "page", string(h.request), strconv.Itoa(n))...)
 			}
 			return net.Buffers{asks}
 		}, nothing)
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -10,22 +10,22 @@
 	"magpiebank/internal/resp"
 )
 
-// attempt is one attempt of a task to an engine. The owner has n, over, again, doubt and stop; mu of the engine
+// attempt is one attempt of a request to an engine. The owner has n, over, again, doubt and stop; mu of the engine
 // guards what stands below state, which is its engineClient's.
 type attempt struct {
-	of        *task
+	of        *request
 	to        engineClient
 	engine    admission.EngineID // to's
-	task      admission.TaskID   // of's id
+	request   admission.TaskID   // of's id
 	n         int
 	over      bool
 	again     bool              // it was never written on its first connection
 	doubt     admission.Outcome // what the module is told once it is given up; Delivered: nothing
 	stop      func()
-	lane      string
+	class     string
 	statement []byte
 	token     []byte // by which engines tell a repeat; empty: none
-	patience  admission.Time
+	timeout   admission.Time
 	sendBy    admission.Time // from then on it must not be written; 0: no limit
 	memory    float64
 	state     atomic.Int32
@@ -68,7 +68,7 @@
 		return
 	}
 	l.e.mu.Lock()
-	open := l.open[h.task] == h && !h.undone && !h.done && h.state.Load() == written
+	open := l.open[h.request] == h && !h.undone && !h.done && h.state.Load() == written
 	if h.undone = true; open && l.asked.IsZero() {
 		l.asked = time.Now()
 		l.arm()
@@ -82,7 +82,7 @@
 	l.e.mu.Unlock()
 	if open { // nothing answers this, but a page that the engine doesn't know is failed: then it has heard it
 		l.write(func() net.Buffers {
-			return net.Buffers{resp.Array(nil, word, string(h.task)), resp.Array(nil, "page", string(h.task), "1")}
+			return net.Buffers{resp.Array(nil, word, string(h.request)), resp.Array(nil, "page", string(h.request), "1")}
 		}, nothing)
 	}
 }
@@ -95,23 +95,23 @@
 	}
 	l.e.mu.Lock()
 	h.rank = rank
-	open := l.open[h.task] == h && !h.done && h.state.Load() == written
+	open := l.open[h.request] == h && !h.done && h.state.Load() == written
 	l.e.mu.Unlock()
 	if open {
-		l.say("bump", string(h.task), strconv.Itoa(rank))
+		l.say("bump", string(h.request), strconv.Itoa(rank))
 	}
 }
 
-// forget drops what was kept to tell late answers; the task is over, and its id doesn't come again.
+// forget drops what was kept to tell late answers; the request is over, and its id doesn't come again.
 func (h *attempt) forget() {
 	l := h.conn
 	if l == nil {
 		return
 	}
 	l.e.mu.Lock()
-	if l.open[h.task] == h {
+	if l.open[h.request] == h {
 		l.over(h)
-		delete(l.open, h.task)
+		delete(l.open, h.request)
 	}
 	l.e.mu.Unlock()
 }
--- a/internal/router/cut_test.go
+++ b/internal/router/cut_test.go
@@ -15,7 +15,7 @@
 func (s *stage) kept() (n int) {
 	done := make(chan struct{})
 	s.o.tell(func(admission.Time) {
-		n = len(s.o.sessions) + len(s.o.tasks) + int(s.o.statements.Load())
+		n = len(s.o.sessions) + len(s.o.requests) + int(s.o.statements.Load())
 		close(done)
 	})
 	<-done
--- a/internal/router/desk.go
+++ b/internal/router/desk.go
@@ -2,44 +2,44 @@
 
 import "magpiebank/internal/admission"
 
-// Desk is what an operator's rules add to a gateway: it puts tasks into classes, limits what runs of each, and foresees
+// Desk is what an operator's rules add to a gateway: it puts requests into classes, limits what runs of each, and foresees
 // costs. Its calls are the owner's; what a Reader does is its session's. Package operator has the one there is.
 type Desk interface {
 	admission.Gate
 	Listed(now admission.Time, form admission.Form, list []admission.Listing)
 	Due(now admission.Time)
-	// Arrived rules on the task that a reader has read. A text in refuse is the client's final answer; crowded: it is
+	// Arrived rules on the request that a reader has read. A text in refuse is the client's final answer; crowded: it is
 	// nacked, as too many of its class wait, or nobody knows now what holds for it.
 	Arrived(now admission.Time, r Reader) (f admission.Foreseen, crowded bool, refuse string)
-	// Sent takes in an attempt; Back its end, with the work it took (0: not told) and whether its task waits again. What
+	// Sent takes in an attempt; Back its end, with the work it took (0: not told) and whether its request waits again. What
 	// Sent returns is handed to Back; by, where it is not 0, names the rules that had it go out.
 	Sent(f admission.Foreseen, threads float64) (charged float64, by uint64)
 	Back(f admission.Foreseen, threads, charged float64, work admission.Time, waits bool)
-	// Left takes in that a waiting task got its final answer.
+	// Left takes in that a waiting request got its final answer.
 	Left(f admission.Foreseen)
 	// Pass tells, right before an attempt is written, whether the rules that had it go out are still gone by; Passed follows once it
 	// is written. Both are called by the goroutine that writes.
-	Pass(by uint64, task admission.TaskID) bool
-	Passed(by uint64, task admission.TaskID)
+	Pass(by uint64, request admission.TaskID) bool
+	Passed(by uint64, request admission.TaskID)
 	Name(class int) string
 	Reader() Reader
 }
 
 // Reader reads the statements of one session, one after the other.
 type Reader interface {
-	// Read reads a statement that is to be a task.
-	Read(sql []byte, lane, tables int)
+	// Read reads a statement that is to be a request.
+	Read(sql []byte, class, tables int)
 	// Answered takes in what the statement read last has cost, and the MB it needed (0: not told).
 	Answered(work admission.Time, memory float64)
 }
 
-// seen tells whether the desk keeps account of a task.
-func (t *task) seen() bool { return t.class > 0 || t.foreseen.Trial > 0 }
+// seen tells whether the desk keeps account of a request.
+func (t *request) seen() bool { return t.policyClass > 0 || t.foreseen.Trial > 0 }
 
 // sent notes an attempt.
 func (o *owner) sent(h *attempt) {
 	if t := h.of; t.seen() {
-		h.foreseen, h.threads = t.foreseen, float64(o.site.Lanes[t.lane].Threads)
+		h.foreseen, h.threads = t.foreseen, float64(o.site.Lanes[t.class].Threads)
 		h.charged, h.by = o.desk.Sent(t.foreseen, h.threads)
 		t.held = false
 	}
@@ -48,7 +48,7 @@
 // back tells the module that an attempt has ended, and before it what limits its class.
 func (o *owner) back(now admission.Time, h *attempt, how admission.Outcome, over bool, work admission.Time, memory float64) {
 	if f := &h.foreseen; f.Class > 0 || f.Trial > 0 {
-		waits := !over && o.tasks[h.of.id] == h.of
+		waits := !over && o.requests[h.of.id] == h.of
 		o.desk.Back(h.foreseen, h.threads, h.charged, work, waits)
 		if waits {
 			h.of.held = true
--- a/internal/router/driver_test.go
+++ b/internal/router/driver_test.go
@@ -39,8 +39,8 @@
 			t.Fatal(db.Ping())
 		}
 	}
-	ask := func(ctx context.Context, lane, id, statement string) (rows int, err error) {
-		got, err := db.QueryContext(ctx, "/* class="+lane+",id="+id+",wait=1900 */ "+statement)
+	ask := func(ctx context.Context, class, id, statement string) (rows int, err error) {
+		got, err := db.QueryContext(ctx, "/* class="+class+",id="+id+",wait=1900 */ "+statement)
 		if err != nil {
 			return 0, err
 		}
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -63,7 +63,7 @@
 
 // send puts an attempt on a connection of its own while descriptors allow: one that breaks takes the others on
 // it along. It is one that was idle, the last used of those; else a new one; else the one with the least on it.
-// A task goes out once on a connection, so that no copy of an answer is taken for a later attempt's.
+// A request goes out once on a connection, so that no copy of an answer is taken for a later attempt's.
 func (e *engine) send(h *attempt) {
 	if h.state.Load() == withdrawn {
 		return
@@ -72,7 +72,7 @@
 	var best *engineConn
 	longest := e.fresh()
 	for _, l := range e.conns {
-		if l.out >= e.o.network.Streams || l.open[h.task] != nil || l.silent() ||
+		if l.out >= e.o.network.Streams || l.open[h.request] != nil || l.silent() ||
 			l.out == 0 && time.Since(l.used) >= longest {
 			continue
 		}
@@ -94,7 +94,7 @@
 			h.rested = h.sent.Sub(l.used)
 		}
 	}
-	l.open[h.task], l.used = h, h.sent
+	l.open[h.request], l.used = h, h.sent
 	l.out++
 	up := l.tcp != nil
 	if up {
--- a/internal/router/engine_conn.go
+++ b/internal/router/engine_conn.go
@@ -17,7 +17,7 @@
 // engineConn is a connection for attempts.
 type engineConn struct {
 	e       *engine
-	open    map[admission.TaskID]*attempt // until their tasks are over, as late answers and second copies may come
+	open    map[admission.TaskID]*attempt // until their requests are over, as late answers and second copies may come
 	out     int                           // of those, without a last answer
 	waiting []*attempt                    // until it is up
 	tcp     net.Conn
@@ -76,33 +76,33 @@
 		if late = h.sendBy > 0 && l.e.o.clock.Now() >= h.sendBy; late {
 			return nil
 		}
-		if h.by != 0 && !l.e.o.desk.Pass(h.by, h.task) {
-			l.barred(h)
+		if h.by != 0 && !l.e.o.desk.Pass(h.by, h.request) {
+			l.revoke(h)
 			return nil
 		}
 		if passed = h.by != 0; !h.state.CompareAndSwap(fresh, written) {
 			return nil
 		}
-		return resp.Do(make([]byte, 0, 320), resp.Attempt{ID: string(h.task), Class: h.lane,
-			TimeoutMS: max(1, int64(h.patience/admission.Millisecond)), MemoryMB: h.memory, Priority: rank,
+		return resp.Do(make([]byte, 0, 320), resp.Attempt{ID: string(h.request), Class: h.class,
+			TimeoutMS: max(1, int64(h.timeout/admission.Millisecond)), MemoryMB: h.memory, Priority: rank,
 			Token: h.token, Statement: h.statement})
 	}, func() { h.state.CompareAndSwap(written, fresh) })
 	if passed {
-		l.e.o.desk.Passed(h.by, h.task)
+		l.e.o.desk.Passed(h.by, h.request)
 	}
 	if late {
-		l.barred(h)
+		l.revoke(h)
 	}
 }
 
-// barred ends an attempt that must not be written any more, as its time is over or the rules that had it go out are gone by no
+// revoke ends an attempt that must not be written any more, as its time is over or the rules that had it go out are gone by no
 // more: nothing ran, and the engine has no part in it.
-func (l *engineConn) barred(h *attempt) {
+func (l *engineConn) revoke(h *attempt) {
 	if h.withdraw() {
 		l.e.mu.Lock()
-		if l.open[h.task] == h {
+		if l.open[h.request] == h {
 			l.over(h)
-			delete(l.open, h.task)
+			delete(l.open, h.request)
 		}
 		l.e.mu.Unlock()
 		l.e.o.tellEnded(h, admission.Moot)
@@ -187,7 +187,7 @@
 		if code == "bad_answer" || code == "cut_short" || code == "mute" {
 			how = admission.Lost
 			if len(open) > 0 {
-				time.Sleep(crossing) // the engine hears of the close before another one hears of the task
+				time.Sleep(crossing) // the engine hears of the close before another one hears of the request
 			}
 		}
 		for _, h := range open {
--- a/internal/router/engine_conn_test.go
+++ b/internal/router/engine_conn_test.go
@@ -14,7 +14,7 @@
 	"magpiebank/internal/resp"
 )
 
-func TestPagesAreGatheredInOrder(t *testing.T) { // gathered in order, whatever order they come in; one connection carries two tasks
+func TestPagesAreGatheredInOrder(t *testing.T) { // gathered in order, whatever order they come in; one connection carries two requests
 	e := newEngineStand(t, "e1")
 	s := play(t, e)
 	s.o.tell(func(admission.Time) { s.o.engineRoom = 0 }) // so that attempts share connections
@@ -23,11 +23,11 @@
 	k := e.hears()
 	b.look("bb")
 	if e.hears() != k {
-		t.Error("the second hand-off came on another connection")
+		t.Error("the second attempt came on another connection")
 	}
 	c.look("cc")
 	if e.hears() == k {
-		t.Error("the third hand-off came on the same connection")
+		t.Error("the third attempt came on the same connection")
 	}
 	e.says(k, "00000000000000aa", "data", "pages=3,cost=120,need=64", "a\tb\tc\n")
 	e.hears()
@@ -78,7 +78,7 @@
 	s.end("reset")
 }
 
-func TestRefusedConnectionProvesThatNothingRan(t *testing.T) { // proof that nothing ran: even a task that must not run twice goes elsewhere
+func TestRefusedConnectionProvesThatNothingRan(t *testing.T) { // proof that nothing ran: even a request that must not run twice goes elsewhere
 	e, f := newEngineStand(t, "e2"), newEngineStand(t, "e1")
 	e.l.Close()
 	s := play(t)
@@ -94,7 +94,7 @@
 	s.end("refused")
 }
 
-func TestSilentEngineTimesOut(t *testing.T) { // a time-out, an answer after it, and another task on the same session
+func TestSilentEngineTimesOut(t *testing.T) { // a time-out, an answer after it, and another request on the same session
 	e := newEngineStand(t, "e1")
 	s := play(t, e)
 	a := s.client()
@@ -135,7 +135,7 @@
 	s.end("odd pages")
 }
 
-func TestReportOfNobodyIsPassedOver(t *testing.T) { // where answers hold reports, one for no task is passed over like its rows
+func TestReportOfNobodyIsPassedOver(t *testing.T) { // where answers hold reports, one for no request is passed over like its rows
 	e := newEngineStand(t, "e1")
 	s := play(t, e)
 	s.o.tell(func(admission.Time) { s.o.network.AnswersTell = true })
@@ -148,8 +148,8 @@
 	s.end("gauges of nobody")
 }
 
-// A spoilt or missing answer ends its connection, with a code; it says little of the engine, and a task that may run
-// again goes out once more while one that may not is written off. Other tasks have connections of their own.
+// A spoilt or missing answer ends its connection, with a code; it says little of the engine, and a request that may run
+// again goes out once more while one that may not is written off. Other requests have connections of their own.
 func TestSpoiltAnswerEndsItsConnection(t *testing.T) {
 	const id = "00000000000000aa"
 	var out strings.Builder
@@ -204,12 +204,12 @@
 	time.Sleep(s.o.network.ConnectWithin + time.Millisecond)
 	a.look("bb")
 	if e.hears() == k {
-		t.Error("the next hand-off came on the silent connection")
+		t.Error("the next attempt came on the silent connection")
 	}
 	s.end("gone without a sign")
 }
 
-// Where the next do overtook the undo on another connection, the engines held two copies of a task.
+// Where the next do overtook the undo on another connection, the engines held two copies of a request.
 func TestRetryWaitsForTheUndo(t *testing.T) {
 	e, f := newEngineStand(t, "e1"), newEngineStand(t, "e2")
 	s := play(t, e)
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -8,13 +8,13 @@
 // host is what the module's decisions act on.
 type host struct{ o *owner }
 
-func (a host) HandOff(id admission.TaskID, name admission.EngineID, patience, sendBy admission.Time) {
-	t, e := a.o.tasks[id], a.o.engines[name]
-	h := &attempt{of: t, to: e, engine: name, task: id, n: t.tries, lane: t.name, statement: t.statement, token: t.token, patience: patience, sendBy: sendBy,
+func (a host) HandOff(id admission.TaskID, name admission.EngineID, timeout, sendBy admission.Time) {
+	t, e := a.o.requests[id], a.o.engines[name]
+	h := &attempt{of: t, to: e, engine: name, request: id, n: t.tries, class: t.className, statement: t.statement, token: t.token, timeout: timeout, sendBy: sendBy,
 		memory: t.memory, rank: t.rank, report: admission.NoReport}
 	t.tries++
 	t.out = h
-	h.stop = a.o.clock.After(patience, func() {
+	h.stop = a.o.clock.After(timeout, func() {
 		a.o.tellEnded(h, admission.TimedOut)
 	})
 	a.o.sent(h)
@@ -30,23 +30,23 @@
 }
 
 func (a host) Cancel(id admission.TaskID, n int) {
-	if t := a.o.tasks[id]; t != nil && t.out != nil && t.out.n == n {
+	if t := a.o.requests[id]; t != nil && t.out != nil && t.out.n == n {
 		a.o.tellEnded(t.out, admission.Cancelled)
 	}
 }
 
 func (a host) Nack(id admission.TaskID, comeBack admission.Time) {
-	t := a.o.tasks[id]
-	a.o.answer(a.o.now, t, ledger.Nacked, nil, func() { t.by.nacked(comeBack) })
+	t := a.o.requests[id]
+	a.o.answer(a.o.now, t, ledger.Nacked, nil, func() { t.by.rejected(comeBack) })
 }
 
 func (a host) WriteOff(id admission.TaskID) {
-	t := a.o.tasks[id]
-	a.o.answer(a.o.now, t, ledger.WrittenOff, nil, t.by.writtenOff)
+	t := a.o.requests[id]
+	a.o.answer(a.o.now, t, ledger.WrittenOff, nil, t.by.failed)
 }
 
 func (a host) Terms(id admission.TaskID, memory float64, rank int) {
-	t := a.o.tasks[id]
+	t := a.o.requests[id]
 	t.memory, t.rank = memory, rank
 	if h := t.out; h != nil && !h.carried {
 		h.rank = rank
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -29,7 +29,7 @@
 // inHand counts the requests that the router has taken and not answered.
 func (s *stage) inHand() int {
 	answer := make(chan int, 1)
-	s.o.tell(func(admission.Time) { answer <- len(s.o.tasks) })
+	s.o.tell(func(admission.Time) { answer <- len(s.o.requests) })
 	return <-answer
 }
 
@@ -205,7 +205,7 @@
 	<-dialled
 	busy, done := make(chan bool), make(chan bool)
 	s.o.tell(func(admission.Time) {
-		s.o.tasks["00000000000000aa"].by.do(func() {
+		s.o.requests["00000000000000aa"].by.do(func() {
 			close(busy)
 			<-done
 		})
@@ -214,7 +214,7 @@
 	a.c.Close()
 	eventually(t, "the end is there", func() bool {
 		gone := make(chan bool, 1)
-		s.o.tell(func(admission.Time) { gone <- s.o.tasks["00000000000000aa"].by.gone() })
+		s.o.tell(func(admission.Time) { gone <- s.o.requests["00000000000000aa"].by.gone() })
 		return <-gone
 	})
 	close(goOn)
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -24,7 +24,7 @@
 	network        *deployment.Network
 	site           *admission.Deployment
 	desk           Desk             // nil: there are no classes
-	keep           *Keeping         // nil: nothing of tasks is recorded
+	keep           *Keeping         // nil: nothing of requests is recorded
 	peers          Peers            // nil: this gateway speaks to no other
 	tape           *capture.Capture // nil: nothing is recorded
 	clients        connectionLimiter
@@ -37,7 +37,7 @@
 
 	now      admission.Time
 	module   *admission.Router
-	tasks    map[admission.TaskID]*task // taken and without a final answer
+	requests map[admission.TaskID]*request // taken and without a final answer
 	engines  map[admission.EngineID]engineClient
 	dial     func(address string) (net.Conn, error)                     // connects to an engine, within the time that the site allows
 	connect  func(name admission.EngineID, address string) engineClient // makes one for an engine
@@ -51,7 +51,7 @@
 
 func newOwner(start *deployment.Start, clock Clock, log *slog.Logger) *owner {
 	o := &owner{clock: clock, inbox: inbox.New(), log: log, network: start.Network, site: start.Site, now: clock.Now(),
-		sessions: map[uint32]*session{}, tasks: map[admission.TaskID]*task{},
+		sessions: map[uint32]*session{}, requests: map[admission.TaskID]*request{},
 		engines: map[admission.EngineID]engineClient{}}
 	o.dial = func(address string) (net.Conn, error) {
 		return net.DialTimeout("tcp", address, o.network.ConnectWithin)
@@ -139,12 +139,12 @@
 			slices.ContainsFunc(list, func(l admission.Listing) bool { return l.Engine == h.engine && l.State != admission.Live })
 	}
 	var late []*attempt
-	for _, t := range o.tasks {
+	for _, t := range o.requests {
 		if h := t.out; h != nil && !h.over && closed(h) {
 			late = append(late, h)
 		}
 	}
-	slices.SortFunc(late, func(a, b *attempt) int { return cmp.Compare(a.task, b.task) })
+	slices.SortFunc(late, func(a, b *attempt) int { return cmp.Compare(a.request, b.request) })
 	for _, h := range late {
 		h.again = true // should its connection break now, it isn't sent once more
 		if h.withdraw() {
@@ -154,9 +154,9 @@
 	}
 }
 
-// arrived takes a task in.
-func (o *owner) arrived(now admission.Time, t *task) {
-	if o.tasks[t.id] != nil || o.module.Knows(t.id) { // a killed one is known until its attempt ends
+// arrived takes a request in.
+func (o *owner) arrived(now admission.Time, t *request) {
+	if o.requests[t.id] != nil || o.module.Knows(t.id) { // a killed one is known until its attempt ends
 		t.by.refused("the id is in use")
 		return
 	}
@@ -167,17 +167,17 @@
 		f, crowded, refuse := o.desk.Arrived(now, t.reader)
 		switch {
 		case refuse != "":
-			t.by.barred(refuse)
+			t.by.denied(refuse)
 			return
 		case crowded:
-			t.by.nacked(o.site.ComeBack)
+			t.by.rejected(o.site.ComeBack)
 			return
 		}
 		f.Past = t.foreseen.Past
 		if f.Work == 0 { // what the client says of it stands where nothing was learned
 			f.Work, f.Memory = t.foreseen.Work, max(f.Memory, t.foreseen.Memory)
 		}
-		t.foreseen, t.class = f, f.Class
+		t.foreseen, t.policyClass = f, f.Class
 	}
 	if o.keep != nil && !o.take(now, t) {
 		if t.seen() {
@@ -186,10 +186,10 @@
 		return
 	}
 	t.held = t.seen()
-	o.tasks[t.id] = t
+	o.requests[t.id] = t
 	o.moved(t, Place{In: true})
 	t.rank = 1
-	o.module.Arrived(now, t.id, t.cutoff, t.lane, t.tenant, t.key, t.tables, t.foreseen)
+	o.module.Arrived(now, t.id, t.deadline, t.class, t.tenant, t.key, t.tables, t.foreseen)
 }
 
 // tellEnded queues the end of an attempt.
@@ -212,8 +212,8 @@
 	switch how {
 	case admission.Delivered:
 		work, memory = h.work, h.needs
-		if o.tasks[t.id] == t {
-			o.answer(now, t, ledger.Delivered, h.pages, func() { t.by.delivered(h) })
+		if o.requests[t.id] == t {
+			o.answer(now, t, ledger.Delivered, h.pages, func() { t.by.served(h) })
 		}
 	case admission.TimedOut, admission.Cancelled:
 		unsent := admission.Unreachable
@@ -250,9 +250,9 @@
 
 // undoWithin is how long to wait for an engine's word that an attempt is given up there: a further one that
 // overtook the undo on another connection would be a second copy. It is as long as a connection may take to
-// come up, and never past the cut-off, after which nothing is sent.
-func (o *owner) undoWithin(now admission.Time, t *task) admission.Time {
-	return max(0, min(admission.Time(o.network.ConnectWithin/tenth), t.cutoff-now))
+// come up, and never past the deadline, after which nothing is sent.
+func (o *owner) undoWithin(now admission.Time, t *request) admission.Time {
+	return max(0, min(admission.Time(o.network.ConnectWithin/tenth), t.deadline-now))
 }
 
 // givenUp tells the module of an attempt that was called off or timed out, once the engine has heard of it.
@@ -264,10 +264,10 @@
 	}
 }
 
-// answered forgets a task that is given its final answer.
-func (o *owner) answered(t *task) {
+// answered forgets a request that is given its final answer.
+func (o *owner) answered(t *request) {
 	t.over = true
-	delete(o.tasks, t.id)
+	delete(o.requests, t.id)
 	o.moved(t, Place{})
 	if t.held {
 		t.held = false
@@ -275,14 +275,14 @@
 	}
 }
 
-// left ends a task for which nobody waits any more.
-func (o *owner) left(now admission.Time, t *task) {
+// left ends a request for which nobody waits any more.
+func (o *owner) left(now admission.Time, t *request) {
 	if t.over { // its answer is on its way
 		return
 	}
 	t.left = true
 	o.module.ClientGone(now, t.id)
-	if t.out != nil { // so its patience is over
+	if t.out != nil { // so its time is over
 		o.ended(now, t.out, admission.Cancelled)
 	}
 	o.answer(now, t, ledger.Left, nil, t.by.left)
--- a/internal/router/owner_test.go
+++ b/internal/router/owner_test.go
@@ -31,7 +31,7 @@
 				if o.sessions[c] == nil || o.sessions[c].taken == nil {
 					k := &session{o: o, connection: c, mail: newMailbox()}
 					o.sessions[c] = k
-					k.taken = &task{id: admission.TaskID(fmt.Sprint(rng.Intn(30))), by: k, lane: rng.Intn(2), cutoff: now + admission.Second}
+					k.taken = &request{id: admission.TaskID(fmt.Sprint(rng.Intn(30))), by: k, class: rng.Intn(2), deadline: now + admission.Second}
 					o.arrived(now, k.taken)
 				}
 			case 4:
@@ -59,15 +59,15 @@
 			out = slices.DeleteFunc(out, func(h *attempt) bool { return h.over && h.doubt == admission.Delivered })
 			copies := map[admission.TaskID]int{}
 			for _, h := range out {
-				if copies[h.task]++; copies[h.task] == 2 {
-					t.Errorf("event %d: two hand-offs of task %s are out", n, h.task)
+				if copies[h.request]++; copies[h.request] == 2 {
+					t.Errorf("event %d: two attempts of request %s are out", n, h.request)
 				}
 			}
 		}
 	})
 	<-done
 	s.pass(20 * admission.Second)
-	s.o.tell(func(admission.Time) { s.say("%d tasks in hand", len(s.o.tasks)) })
+	s.o.tell(func(admission.Time) { s.say("%d requests in hand", len(s.o.requests)) })
 	s.sync()
 	s.end("any order")
 }
@@ -89,7 +89,7 @@
 		}
 		list(admission.Live)
 		a := s.client()
-		a.task(fmt.Sprintf("%02x", n), "look", 5000)
+		a.request(fmt.Sprintf("%02x", n), "look", 5000)
 		k := e.hears()
 		s.pass(100 * admission.Millisecond)
 		e.says(k, fmt.Sprintf("00000000000000%02x", n), "data", "pages=1,cost=100,need=64", "a\tb\tc\n")
@@ -99,7 +99,7 @@
 	}
 	for kept := -1; kept != 0; time.Sleep(time.Millisecond) {
 		s.o.tell(func(admission.Time) {
-			kept = len(s.o.sessions) + len(s.o.tasks) + len(s.o.engines) + int(s.o.engineConns.Load())
+			kept = len(s.o.sessions) + len(s.o.requests) + len(s.o.engines) + int(s.o.engineConns.Load())
 			s.o.clients.mu.Lock()
 			kept += s.o.clients.in
 			s.o.clients.mu.Unlock()
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -16,29 +16,29 @@
 	// Due is the owner's timer.
 	Due(now admission.Time)
 	// Sent takes in an attempt.
-	Sent(now admission.Time, task admission.TaskID, engine admission.EngineID)
-	// Moved takes in where a task of a lane and a class (empty: none) was and is.
-	Moved(lane, class string, was, is Place)
+	Sent(now admission.Time, request admission.TaskID, engine admission.EngineID)
+	// Moved takes in where a request of a class and a class of the operator's (empty: none) was and is.
+	Moved(class, policyClass string, was, is Place)
 	// Stop says farewell to them.
 	Stop()
 }
 
-// Place is where a task is.
+// Place is where a request is.
 type Place struct {
 	In     bool               // the gateway has it
 	Engine admission.EngineID // where it runs; empty: it waits
 }
 
-// moved has the peers know where a task is.
-func (o *owner) moved(t *task, is Place) {
+// moved has the peers know where a request is.
+func (o *owner) moved(t *request, is Place) {
 	if o.peers == nil {
 		return
 	}
-	class := ""
-	if t.class > 0 {
-		class = o.desk.Name(t.class)
+	policyClass := ""
+	if t.policyClass > 0 {
+		policyClass = o.desk.Name(t.policyClass)
 	}
-	o.peers.Moved(t.name, class, t.place, is)
+	o.peers.Moved(t.className, policyClass, t.place, is)
 	t.place = is
 }
 
--- a/internal/router/query.go
+++ b/internal/router/query.go
@@ -12,7 +12,7 @@
 	"magpiebank/internal/mysql"
 )
 
-// query queues a statement as a task and sees it through.
+// query queues a statement as a request and sees it through.
 func (s *session) query(sql []byte) {
 	request, err := mysql.ReadRequest(sql)
 	class := slices.Index(s.o.network.Lanes, string(request.Class))
@@ -25,7 +25,7 @@
 	}
 	if s.o.clients.shutting() {
 		s.code, s.dismissed = "stopped", true
-		s.nack(0)
+		s.reject(0)
 		return
 	}
 	if s.ahead() {
@@ -38,16 +38,16 @@
 	}
 	copy(s.lastID[:], request.ID)
 	s.odd = 0
-	t := s.newTask(&request, class)
+	t := s.newRequest(&request, class)
 	wait := time.Duration(request.WaitMS) * time.Millisecond
 	s.answerBy = time.Now().Add(wait + afterCutoff)
 	s.waiting, s.unanswered = true, false
 	if s.reader != nil {
 		s.reader.Read(t.statement, class, t.tables)
 	}
-	s.o.tape.Task(t.name, t.tables, request.WaitMS, sql, t.statement)
+	s.o.tape.Task(t.className, t.tables, request.WaitMS, sql, t.statement)
 	s.o.tell(func(now admission.Time) {
-		t.cutoff = now + admission.Time(wait/tenth)
+		t.deadline = now + admission.Time(wait/tenth)
 		s.taken = t
 		s.o.arrived(now, t)
 	})
@@ -61,7 +61,7 @@
 
 // await makes the calls of the mailbox until the request in hand has its answer. Meanwhile it reads ahead, so that it sees a
 // client leave, also behind commands that came early; the request of one who left is withdrawn, wherever it waits.
-func (s *session) await(t *task) {
+func (s *session) await(t *request) {
 	for watching := true; s.waiting; s.mail.run() {
 		if !watching {
 			s.mail.wait()
@@ -112,9 +112,9 @@
 	return nil
 }
 
-// newTask makes a task of a request; its statement and token lie in the session's buffer.
-func (s *session) newTask(r *mysql.Request, class int) *task {
-	return &task{id: admission.TaskID(r.ID), by: s, lane: class, name: s.o.network.Lanes[class], statement: r.Statement,
+// newRequest makes a request of a request; its statement and token lie in the session's buffer.
+func (s *session) newRequest(r *mysql.Request, class int) *request {
+	return &request{id: admission.TaskID(r.ID), by: s, class: class, className: s.o.network.Lanes[class], statement: r.Statement,
 		tables: mysql.Tables(r.Statement), tenant: max(0, slices.Index(s.o.network.Tenants, string(r.Tenant))),
 		key: string(r.Key), token: r.Once, reader: s.reader, foreseen: s.o.estimate(r, class)}
 }
@@ -170,13 +170,13 @@
 	return ended
 }
 
-// over has a call be the last of a task.
+// over has a call be the last of a request.
 func (s *session) over(call func()) {
 	s.taken = nil
 	s.mail.Put(call)
 }
 
-func (s *session) delivered(h *attempt) {
+func (s *session) served(h *attempt) {
 	s.over(func() {
 		s.deliver(h.pages)
 		if s.reader != nil && h.to != nil { // not an answer of before
@@ -185,11 +185,11 @@
 	})
 }
 
-func (s *session) nacked(comeBack admission.Time) {
-	s.over(func() { s.nack(int64(comeBack / admission.Millisecond)) })
+func (s *session) rejected(retryAfter admission.Time) {
+	s.over(func() { s.reject(int64(retryAfter / admission.Millisecond)) })
 }
-func (s *session) writtenOff()        { s.over(s.writeOff) }
-func (s *session) barred(why string)  { s.over(func() { s.bar(why) }) }
+func (s *session) failed()            { s.over(s.fail) }
+func (s *session) denied(why string)  { s.over(func() { s.deny(why) }) }
 func (s *session) refused(why string) { s.over(func() { s.refuse(why) }) }
 func (s *session) left()              { s.over(s.leave) }
 
@@ -211,29 +211,29 @@
 	s.write(head, rows, mysql.EOF(nil, number))
 }
 
-// bar gives a task the final answer that an operator's rule has for it.
-func (s *session) bar(why string) {
+// deny gives a request the final answer that an operator's rule has for it.
+func (s *session) deny(why string) {
 	s.waiting = false
 	s.turnAway()
 	s.write(mysql.Error(nil, s.number+1, mysql.ErrBarred, why))
 }
 
-func (s *session) nack(comeBackMS int64) {
+func (s *session) reject(retryAfterMS int64) {
 	s.waiting = false
 	s.turnAway()
-	s.write(mysql.Nack(nil, s.number+1, comeBackMS))
+	s.write(mysql.Nack(nil, s.number+1, retryAfterMS))
 }
 
-func (s *session) writeOff() {
+func (s *session) fail() {
 	s.waiting = false
 	s.write(mysql.Error(nil, s.number+1, mysql.ErrWrittenOff, "written off"))
 }
 
-// refuse answers a query that never became a task.
+// refuse answers a query that never became a request.
 func (s *session) refuse(why string) {
 	s.waiting = false
 	s.amiss(mysql.ErrParse, why)
 }
 
-// leave ends a task whose client stopped waiting; no answer is owed.
+// leave ends a request whose client stopped waiting; no answer is owed.
 func (s *session) leave() { s.waiting, s.unanswered = false, true }
--- a/internal/router/query_test.go
+++ b/internal/router/query_test.go
@@ -27,9 +27,9 @@
 	a.asks("/* class=load,id=00000000000000aa,wait=20000,tenant=south,cost=120.5,once=" + token +
 		",key=000f32068cc24621,mb=200 */ INSERT INTO t_7.x SELECT * FROM staging.y")
 	k := e.hears()
-	tasks := make(chan task, 1)
-	s.o.tell(func(admission.Time) { tasks <- *s.o.tasks["00000000000000aa"] })
-	if got := <-tasks; got.tenant != 1 || got.key != "000f32068cc24621" || got.foreseen.Work != 1205 || got.foreseen.Memory != 200 {
+	requests := make(chan request, 1)
+	s.o.tell(func(admission.Time) { requests <- *s.o.requests["00000000000000aa"] })
+	if got := <-requests; got.tenant != 1 || got.key != "000f32068cc24621" || got.foreseen.Work != 1205 || got.foreseen.Memory != 200 {
 		t.Errorf("tenant %d, key %q, foreseen %+v", got.tenant, got.key, got.foreseen)
 	}
 	s.told(e, "Terminating")
@@ -54,9 +54,9 @@
 	a := s.client()
 	a.asks("/* class=look,id=00000000000000aa,wait=5000,tenant=north,cost=900000000,mb=900000000 */ SELECT a FROM t_7.x")
 	s.wait(1)
-	tasks := make(chan task, 1)
-	s.o.tell(func(admission.Time) { tasks <- *s.o.tasks["00000000000000aa"] })
-	if got := (<-tasks).foreseen; got.Work != 5*admission.Second || got.Memory != 16384 {
+	requests := make(chan request, 1)
+	s.o.tell(func(admission.Time) { requests <- *s.o.requests["00000000000000aa"] })
+	if got := (<-requests).foreseen; got.Work != 5*admission.Second || got.Memory != 16384 {
 		t.Errorf("foreseen %+v", got)
 	}
 	s.close()
--- a/internal/router/record.go
+++ b/internal/router/record.go
@@ -5,7 +5,7 @@
 	"magpiebank/internal/ledger"
 )
 
-// Keeping is a record of tasks that survives this process.
+// Keeping is a record of requests that survives this process.
 type Keeping struct {
 	Ledger *ledger.Ledger
 	Failed func() error // why nothing can be recorded any more; nil: it can
@@ -17,7 +17,7 @@
 }
 
 // rememberEvery is how often what the decisions know is kept: engines report some times a second, so that a second tells
-// where bounds and lanes stand; the ration and cold engines don't rest on how old it is.
+// where bounds and classes stand; the ration and cold engines don't rest on how old it is.
 const rememberEvery = admission.Second
 
 // due is the record's part of the timer.
@@ -29,9 +29,9 @@
 	}
 }
 
-// known answers a task that was answered before; it tells whether it did. One that was in hand when the process before died
+// known answers a request that was answered before; it tells whether it did. One that was in hand when the process before died
 // goes on with what is known of it.
-func (o *owner) known(t *task) bool {
+func (o *owner) known(t *request) bool {
 	standing, e := o.keep.Ledger.Ask(t.id)
 	switch {
 	case standing == ledger.Again:
@@ -40,28 +40,28 @@
 	case standing != ledger.Answered:
 		return false
 	case e.Outcome == ledger.Delivered && e.Whole():
-		t.by.delivered(&attempt{of: t, pages: e.Rows})
+		t.by.served(&attempt{of: t, pages: e.Rows})
 	case e.Outcome == ledger.Delivered:
-		t.by.barred("it was delivered before, and its rows are not kept")
+		t.by.denied("it was delivered before, and its rows are not kept")
 	case e.Outcome == ledger.WrittenOff, e.Outcome == ledger.Left && e.MayRan && o.strict(t):
-		t.by.writtenOff()
+		t.by.failed()
 	default:
-		t.by.nacked(o.site.ComeBack)
+		t.by.rejected(o.site.ComeBack)
 	}
 	return true
 }
 
-// strict tells whether a second run of a task would do harm.
-func (o *owner) strict(t *task) bool { return o.site.Lanes[t.lane].Effect != admission.Idempotent }
+// strict tells whether a second run of a request would do harm.
+func (o *owner) strict(t *request) bool { return o.site.Lanes[t.class].Effect != admission.Idempotent }
 
-// take records that a task is taken. Where nothing can be recorded any more, one that may not run twice is nacked: after a
+// take records that a request is taken. Where nothing can be recorded any more, one that may not run twice is nacked: after a
 // crash nobody would know of it.
-func (o *owner) take(now admission.Time, t *task) bool {
+func (o *owner) take(now admission.Time, t *request) bool {
 	if o.strict(t) && o.keep.Failed() != nil {
-		t.by.nacked(o.site.ComeBack)
+		t.by.rejected(o.site.ComeBack)
 		return false
 	}
-	o.keep.Ledger.Take(now, t.id, t.lane, t.cutoff)
+	o.keep.Ledger.Take(now, t.id, t.class, t.deadline)
 	return true
 }
 
@@ -92,9 +92,9 @@
 	}
 }
 
-// answer gives a task its final answer, once that is recorded where a second one could be given after a crash. An answer
+// answer gives a request its final answer, once that is recorded where a second one could be given after a crash. An answer
 // that can't be recorded is given all the same: it is true now.
-func (o *owner) answer(now admission.Time, t *task, outcome ledger.Outcome, rows [][]byte, give func()) {
+func (o *owner) answer(now admission.Time, t *request, outcome ledger.Outcome, rows [][]byte, give func()) {
 	o.answered(t)
 	if o.keep != nil && o.keep.Ledger.End(now, t.id, outcome, rows, func(error) { o.tell(func(admission.Time) { give() }) }) {
 		return
--- a/internal/router/task.go
+++ b/internal/router/request.go
@@ -2,23 +2,23 @@
 
 import "magpiebank/internal/admission"
 
-// The owner sits between fronts, which hand tasks in and are told their final answers, and engine clients, which bring attempts to
+// The owner sits between frontends, which hand requests in and are told their final answers, and engine clients, which bring attempts to
 // engines and tell how they ended. It knows the protocol of neither.
 
-// responder is who asked for a task and is owed its answer: a session of a front. The owner calls it and never waits; each
-// task gets exactly one of delivered, nacked, writtenOff, barred, refused and left.
+// responder is who asked for a request and is owed its answer: a session of a frontend. The owner calls it and never waits; each
+// request gets exactly one of served, rejected, failed, denied, refused and left.
 type responder interface {
-	// do has the responder's goroutine make a call. What is written to engines on a task's behalf is written there.
+	// do has the responder's goroutine make a call. What is written to engines on a request's behalf is written there.
 	do(call func())
 	// carry has the responder's goroutine bring an attempt to an engine, unless who asked has gone.
 	carry(h *attempt, to engineClient)
 	// gone tells whether who asked can be seen to have gone; from any goroutine.
 	gone() bool
-	delivered(h *attempt)
-	nacked(comeBack admission.Time)
-	writtenOff()
-	barred(why string)  // an operator's rule has this for its answer
-	refused(why string) // it never became a task
+	served(h *attempt)
+	rejected(retryAfter admission.Time)
+	failed()
+	denied(why string)  // an operator's rule has this for its answer
+	refused(why string) // it never became a request
 	left()              // nobody waits any more
 }
 
@@ -31,28 +31,28 @@
 	stop()           // all ends now
 }
 
-// task is one that was taken and has no final answer yet. It is the owner's, but for what doesn't change.
-type task struct {
+// request is one that was taken and has no final answer yet. It is the owner's, but for what doesn't change.
+type request struct {
 	id        admission.TaskID
 	by        responder
-	lane      int
-	name      string // of the lane
+	class     int // its number in the settings
+	className string
 	statement []byte
 	tables    int
 	tenant    int    // its number in the settings
 	key       string // requests of a class in order run one at a time under it; empty: none
 	token     []byte // the client's idempotency token; empty: none
-	cutoff    admission.Time
+	deadline  admission.Time
 	reader    Reader // nil: its statement wasn't read
 
-	tries    int
-	out      *attempt
-	memory   float64
-	rank     int
-	foreseen admission.Foreseen
-	class    int   // of the desk's; 0: none
-	held     bool  // in a class, with no attempt out
-	place    Place // as the peers know it
-	over     bool  // it has its final answer
-	left     bool  // nobody waits for it
+	tries       int
+	out         *attempt
+	memory      float64
+	rank        int
+	foreseen    admission.Foreseen
+	policyClass int   // of the desk\'s; 0: none
+	held        bool  // in a class, with no attempt out
+	place       Place // as the peers know it
+	over        bool  // it has its final answer
+	left        bool  // nobody waits for it
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,9 +21,9 @@
 
 // With is what a router has besides; what is nil it hasn't.
 type With struct {
-	Tape  *capture.Capture // records the tasks that come
+	Tape  *capture.Capture // records the requests that come
 	Desk  Desk             // an operator's rules
-	Keep  *Keeping         // the record of tasks
+	Keep  *Keeping         // the record of requests
 	Peers Peers            // the other gateways
 }
 
@@ -112,7 +112,7 @@
 		fault := recover()
 		o.tell(func(now admission.Time) {
 			if o.sessions[s.connection] == s {
-				o.killed(now, s.connection) // a task it could not see through
+				o.killed(now, s.connection) // a request it could not see through
 				delete(o.sessions, s.connection)
 			}
 		})
--- a/internal/router/session.go
+++ b/internal/router/session.go
@@ -14,7 +14,7 @@
 	"magpiebank/internal/mysql"
 )
 
-// session is one client's connection. Its goroutine reads a query, queues it as a task, and then does what its
+// session is one client's connection. Its goroutine reads a query, queues it as a request, and then does what its
 // mailbox says until the final answer is written.
 type session struct {
 	o          *owner
@@ -38,7 +38,7 @@
 	asked     bool // it has had an answer to a command
 	displaced bool
 
-	// The task in hand.
+	// The request in hand.
 	answerBy time.Time // when a client that stopped waiting closes
 	waiting  bool
 	// It ended without an answer, as its client left or was taken to have left.
@@ -47,7 +47,7 @@
 
 	reader Reader // nil: statements are not read
 
-	taken *task // the owner's; nil: none
+	taken *request // the owner's; nil: none
 }
 
 const (
@@ -290,7 +290,7 @@
 	}
 }
 
-// killed ends the task of the session whose client stopped waiting.
+// killed ends the request of the session whose client stopped waiting.
 func (o *owner) killed(now admission.Time, connection uint32) {
 	if s := o.sessions[connection]; s != nil && s.taken != nil {
 		o.left(now, s.taken)
--- a/internal/router/session_test.go
+++ b/internal/router/session_test.go
@@ -66,7 +66,7 @@
 	query := func(sql string) []byte {
 		return append([]byte{byte(len(sql) + 1), byte((len(sql) + 1) >> 8), 0, 0, mysql.Query}, sql...)
 	}
-	task := func(id, wait string) []byte {
+	request := func(id, wait string) []byte {
 		return query("/* class=look,id=00000000000000" + id + ",wait=" + wait + " */ SELECT a FROM t_7.x")
 	}
 	odd := query("SELECT 1")
@@ -78,8 +78,8 @@
 		{"60 MB", "too_large", true, append([]byte{0xff, 0xff, 0xff, 0}, make([]byte, 1<<16)...)},
 		{"noise for a login", "bad_login", false, []byte("\x05\x00\x00\x01noise")},
 		{"an empty packet", "bad_packet", true, []byte{0, 0, 0, 0}},
-		{"a wait above any", "closed", true, task("b0", "1000000")},
-		{"two queries at once", "pipelined", true, append(task("b1", "5000"), task("b2", "5000")...)},
+		{"a wait above any", "closed", true, request("b0", "1000000")},
+		{"two queries at once", "pipelined", true, append(request("b1", "5000"), request("b2", "5000")...)},
 		{"errors without an end", "no_protocol", true, bytes.Repeat(odd, 20)},
 		{"half a head", "idle", true, []byte{9, 0}},
 		{"half a statement", "cut_short", true, odd[:9]},
@@ -110,9 +110,9 @@
 	a := s.client()
 	a.asks("SELECT 1")
 	a.gets()
-	a.task("xx", "look", 5000)
+	a.request("xx", "look", 5000)
 	a.gets()
-	a.task("aa", "other", 5000)
+	a.request("aa", "other", 5000)
 	a.gets()
 	a.send(0, []byte{mysql.Ping})
 	a.gets()
--- a/internal/router/shapes_test.go
+++ b/internal/router/shapes_test.go
@@ -32,7 +32,7 @@
  {"name":"report","sloUs":2000000,"worth":4,"effect":"read_like","servedOn":[0]}],` + shapeLanes + `}`
 )
 
-// Gateways of both shapes before the same engines: each task gets one answer, reports of the new shape run on
+// Gateways of both shapes before the same engines: each request gets one answer, reports of the new shape run on
 // kind a only, neither shape starves the other, and once the list says that the engine of kind b drains, neither
 // sends it more.
 func TestShapesSide(t *testing.T) {
@@ -88,10 +88,10 @@
 			go func() {
 				defer wait.Done()
 				for n := range 40 {
-					lane := []string{"look", "look", "look", "report"}[n%4]
+					class := []string{"look", "look", "look", "report"}[n%4]
 					id := fmt.Sprintf("%s%02x%011x%d", g.prefix, c, n, n%4/3) // ends in 1: a report
 					ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-					rows, err := db.QueryContext(ctx, "/* class="+lane+",id="+id+",wait=1900 */ SELECT a FROM t.m")
+					rows, err := db.QueryContext(ctx, "/* class="+class+",id="+id+",wait=1900 */ SELECT a FROM t.m")
 					if err == nil {
 						for rows.Next() {
 						}
@@ -104,7 +104,7 @@
 					}
 					mu.Lock()
 					if err == nil {
-						delivered[g.prefix+" "+lane]++
+						delivered[g.prefix+" "+class]++
 					}
 					mu.Unlock()
 				}
@@ -130,10 +130,10 @@
 		}
 	})
 	if before == 0 {
-		t.Error("the engine of kind b had no task before its drain, so the drain was not tried")
+		t.Error("the engine of kind b had no request before its drain, so the drain was not tried")
 	}
 	if late > 0 {
-		t.Errorf("%d tasks came to the draining engine later than %v after the list said so", late, heard)
+		t.Errorf("%d requests came to the draining engine later than %v after the list said so", late, heard)
 	}
 }
 
--- a/internal/router/shutdown_test.go
+++ b/internal/router/shutdown_test.go
@@ -225,7 +225,7 @@
 	}
 }
 
-func TestStopAnswersWhatIsInHand(t *testing.T) { // new tasks are still taken for a while, and all are answered before the end
+func TestStopAnswersWhatIsInHand(t *testing.T) { // new requests are still taken for a while, and all are answered before the end
 	e := newEngineStand(t, "e1")
 	s := play(t, e)
 	a, b := s.client(), s.client()
@@ -237,7 +237,7 @@
 	b.gets()
 	select {
 	case <-s.ended:
-		t.Error("it ended with a task open")
+		t.Error("it ended with a request open")
 	case <-time.After(lastRequests + 100*time.Millisecond):
 	}
 	e.says(k, "00000000000000aa", "data", "pages=1,cost=120,need=64", "a\tb\tc\n")
--- a/internal/router/stage_test.go
+++ b/internal/router/stage_test.go
@@ -269,7 +269,7 @@
 		return
 	}
 	s.o.tell(func(now admission.Time) {
-		for _, t := range s.o.tasks {
+		for _, t := range s.o.requests {
 			s.o.left(now, t)
 		}
 	})
@@ -294,11 +294,11 @@
 	}
 }
 
-// wait waits until the router has taken n tasks.
+// wait waits until the router has taken n requests.
 func (s *stage) wait(n int) {
 	for got := -1; got != n; {
 		answer := make(chan int)
-		s.o.tell(func(admission.Time) { answer <- len(s.o.tasks) })
+		s.o.tell(func(admission.Time) { answer <- len(s.o.requests) })
 		got = <-answer
 	}
 }
--- a/internal/router/stand_test.go
+++ b/internal/router/stand_test.go
@@ -140,13 +140,13 @@
 	c.send(0, append([]byte{mysql.Query}, sql...))
 }
 
-// look and load ask for a task that may run again and for one that may not.
-func (c *client) look(id string) { c.task(id, "look", 5000) }
+// look and load ask for a request that may run again and for one that may not.
+func (c *client) look(id string) { c.request(id, "look", 5000) }
 
-func (c *client) load(id string) { c.task(id, "load", 20000) }
+func (c *client) load(id string) { c.request(id, "load", 20000) }
 
-func (c *client) task(id, lane string, wait int) {
-	c.asks(fmt.Sprintf("/* class=%s,id=00000000000000%s,wait=%d */ SELECT a FROM t_7.x", lane, id, wait))
+func (c *client) request(id, class string, wait int) {
+	c.asks(fmt.Sprintf("/* class=%s,id=00000000000000%s,wait=%d */ SELECT a FROM t_7.x", class, id, wait))
 }
 
 // gets waits for one answer.
