--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -19,63 +19,63 @@
 	d          *Deployment
 	rng        *rand.Rand
 	now        Time
-	tasks      []task // the slab; places are reused
+	requests   []request // the slab; places are reused
 	free       []int32
-	byID       map[TaskID]int32
+	byID       map[RequestID]int32
 	turns      map[string]turn
 	spare      [][]int32 // lines of keys, to be used again
 	engines    []engine
 	named      map[EngineID]int32
-	queues     [][]int32 // held tasks in order of arrival, by tenant and lane
-	ladder     []int     // lanes, highest earnings first
+	queues     [][]int32 // held requests in order of arrival, by tenant and class
+	byValue    []int     // classes, highest value first
 	used       []float64 // threads running, by tenant
 	tenants    []int     // in the order of release
-	lanes      []learned
+	classes    []learned
 	held       int
 	seq        uint64
-	takes      []span  // tasks taken and further hand-offs, for the ration
-	credit     float64 // probes that the tasks taken have paid for
+	retries    []span  // requests taken and retries, for the retry budget
+	credit     float64 // probes that the requests taken have paid for
 	room       float64 // bytes to peers that they have paid for, not told of yet
-	ran, asked float64 // thread time of tasks that ended lately, and the work they asked for
+	ran, asked float64 // thread time of requests that ended lately, and the work they asked for
 	runs       float64 // and their time out: ran over it is the threads of one query, as held (query)
-	usual      float64 // work of the tasks sent lately
+	usual      float64 // work of the requests sent lately
 	busy       float64 // of engines by their latest reports: what one without a fresh report counts as
-	bestPrice  float64 // of a usual task of the best lane
+	bestPrice  float64 // of a usual request of the best class
 	pools      []pool
-	gate       Gate    // of tasks that have a class
-	recalled   *Memory // of a process before this one; nil: there is none
-	askAt      Time    // when to ask for the list again; 0: not
-	ticked     Time    // when the timer last went off
+	gate       Gate      // of requests that have a policy class
+	snapshot   *Snapshot // of a process before this one; nil: there is none
+	askAt      Time      // when to ask for the list again; 0: not
+	ticked     Time      // when the timer last went off
 }
 
-// tick is the timer's pace: a held task is given up at most this late, well within the answer's slack.
+// tick is the timer's pace: a held request is given up at most this late, well within the answer's slack.
 const tick = 20 * Millisecond
 
 // New makes a router that knows no engine yet.
 func New(now Time, seed int64, d *Deployment, host Host) *Router {
-	r := &Router{host: host, d: d, rng: rand.New(rand.NewSource(seed)), now: now, byID: map[TaskID]int32{},
-		turns: map[string]turn{}, named: map[EngineID]int32{}, lanes: make([]learned, len(d.Lanes)),
+	r := &Router{host: host, d: d, rng: rand.New(rand.NewSource(seed)), now: now, byID: map[RequestID]int32{},
+		turns: map[string]turn{}, named: map[EngineID]int32{}, classes: make([]learned, len(d.Classes)),
 		used: make([]float64, max(1, len(d.Tenants))), busy: 0.5, credit: mostCredit,
 		ticked: now, pools: []pool{{wanted: now - Second}}}
-	for i := range d.Lanes {
-		l := &d.Lanes[i]
-		r.ran, r.asked = r.ran+float64(l.Quoted), r.asked+float64(l.Quoted)
-		r.runs += float64(l.Threads) / float64(len(d.Lanes)) // the lanes' mean threads, until the loop ends
-		r.ladder = append(r.ladder, i)
-		run := float64(l.Quoted) / 3 // until answers tell: users quote with room to wait
-		r.lanes[i] = learned{run: run, work: run * float64(l.Threads), ease: 1, rank: 1}
-		r.usual += r.lanes[i].work / float64(len(d.Lanes))
-	}
-	r.runs = r.ran / r.runs // so that a query begins at the lanes' mean threads
-	slices.SortStableFunc(r.ladder, func(a, b int) int {
-		return cmp.Compare(d.Lanes[b].Earnings, d.Lanes[a].Earnings)
+	for i := range d.Classes {
+		l := &d.Classes[i]
+		r.ran, r.asked = r.ran+float64(l.LatencyTarget), r.asked+float64(l.LatencyTarget)
+		r.runs += float64(l.Threads) / float64(len(d.Classes)) // the classes' mean threads, until the loop ends
+		r.byValue = append(r.byValue, i)
+		run := float64(l.LatencyTarget) / 3 // until answers tell: users quote with room to wait
+		r.classes[i] = learned{run: run, work: run * float64(l.Threads), ease: 1, rank: 1}
+		r.usual += r.classes[i].work / float64(len(d.Classes))
+	}
+	r.runs = r.ran / r.runs // so that a query begins at the classes' mean threads
+	slices.SortStableFunc(r.byValue, func(a, b int) int {
+		return cmp.Compare(d.Classes[b].Value, d.Classes[a].Value)
 	})
 	for n := range r.used {
 		r.tenants = append(r.tenants, n)
 	}
-	r.queues = make([][]int32, len(r.used)*len(d.Lanes))
-	if d.ExtraSpan > 0 {
-		r.takes = make([]span, spans+1)
+	r.queues = make([][]int32, len(r.used)*len(d.Classes))
+	if d.RetryWindow > 0 {
+		r.retries = make([]span, spans+1)
 	}
 	if !d.Probes {
 		r.credit = math.Inf(-1)
@@ -87,18 +87,18 @@
 	return r
 }
 
-// Recall has it go on from what a process before it knew, told before the first delivery of the list. Old
+// Restore has it go on from what a process before it knew, told before the first delivery of the list. Old
 // figures count for less. What that process did after it wrote this down is not known: so within twice the
-// window the ration counts as used up, and this turn at cold engines as spent: two processes must not do
-// together what one may not.
-func (r *Router) Recall(now Time, m *Memory) {
-	const half = 60 * Second // after which what was learned of lanes counts half: mixes change by the minute
-	r.now, r.recalled = now, m
+// window the retry budget counts as used up, and this turn at cold engines as spent: two processes must not
+// do together what one may not.
+func (r *Router) Restore(now Time, m *Snapshot) {
+	const half = 60 * Second // after which what was learned of classes counts half: mixes change by the minute
+	r.now, r.snapshot = now, m
 	weight := math.Exp2(-float64(max(0, now-m.At)) / float64(half))
 	for i := range m.Lanes {
-		if l := &m.Lanes[i]; len(m.Lanes) == len(r.lanes) && l.Work > 0 && l.Run > 0 && l.Ease > 0 {
-			r.lanes[i] = learned{run: l.Run, work: l.Work, memory: l.Memory, answers: l.Answers * weight,
-				tasks: l.Tasks * weight, ease: l.Ease, rank: 1}
+		if l := &m.Lanes[i]; len(m.Lanes) == len(r.classes) && l.Work > 0 && l.Run > 0 && l.Ease > 0 {
+			r.classes[i] = learned{run: l.Run, work: l.Work, memory: l.Memory, answers: l.Answers * weight,
+				requests: l.Tasks * weight, ease: l.Ease, rank: 1}
 		}
 	}
 	if m.Ran > 0 && m.Asked > 0 && m.Usual > 0 {
@@ -106,28 +106,28 @@
 	}
 	r.pools[0].bar = m.Bar * weight
 	for _, s := range m.Takes {
-		if r.takes != nil {
-			r.takes[s.Index%(spans+1)] = span{index: s.Index, taken: s.Taken, extra: s.Extra}
+		if r.retries != nil {
+			r.retries[s.Index%(spans+1)] = span{index: s.Index, taken: s.Taken, extra: s.Extra}
 		}
 	}
-	if s := r.span(); s != nil && now-m.At < 2*r.d.ExtraSpan {
+	if s := r.span(); s != nil && now-m.At < 2*r.d.RetryWindow {
 		taken, extra := r.window(s)
-		s.extra += max(0, r.d.ExtraFree+r.d.ExtraShare*taken-extra)
+		s.extra += max(0, r.d.RetryBurst+r.d.RetryRatio*taken-extra)
 	}
 	for _, k := range m.Rests {
 		r.turns[k.Key] = turn{rest: k.Rest}
 	}
 }
 
-// recall has an engine begin as it was last known, if it has not been started again since: its bound from
-// where it stood, less the longer ago; its report and its distrust with their age.
-func (r *Router) recall(e *engine) {
+// restore has an engine begin as it was last known, if it has not been started again since: its bound from
+// where it stood, less the longer ago; its report and its failure score with their age.
+func (r *Router) restore(e *engine) {
 	const old = 10 * Second // by then a bound has been stepped to somewhere else
-	for i := range r.recalled.Engines {
-		if m := &r.recalled.Engines[i]; m.Engine == e.Engine && m.Since == e.Since {
-			e.bound += (m.Bound - e.bound) * max(0, 1-float64(r.now-r.recalled.At)/float64(old))
+	for i := range r.snapshot.Engines {
+		if m := &r.snapshot.Engines[i]; m.Engine == e.Engine && m.Since == e.Since {
+			e.bound += (m.Bound - e.bound) * max(0, 1-float64(r.now-r.snapshot.At)/float64(old))
 			e.util, e.report, e.reportAt = m.Util, m.Report, m.ReportAt
-			e.distrust, e.distrustAt = m.Distrust, m.DistrustAt
+			e.failures, e.failuresAt = m.Distrust, m.DistrustAt
 			if r.isCold(e) {
 				e.coldAt, e.cold = r.now/(2*r.d.TipAfter), math.Inf(1)
 			}
@@ -163,9 +163,9 @@
 			}
 			// Two threads a core over the gateways, the signal's own threshold: in a large fleet below a query.
 			e.bound = threshold * e.cores / float64(r.d.Gateways)
-			e.distrust, e.report, e.reportAt, e.heardAt, e.until = 0, NoReport, now, 0, 0
-			if r.recalled != nil && !known {
-				r.recall(e)
+			e.failures, e.report, e.reportAt, e.heardAt, e.until = 0, NoReport, now, 0, 0
+			if r.snapshot != nil && !known {
+				r.restore(e)
 			}
 			e.probedAt = now - fastestProbe - Time(r.rng.Int63n(int64(Second))) // each router in its own order
 		}
@@ -178,27 +178,27 @@
 	r.release()
 }
 
-// Arrived takes a task from a client. From here on it is owed one final answer.
-func (r *Router) Arrived(now Time, id TaskID, cutoff Time, lane, tenant int, key string, tables int,
+// Arrived takes a request from a client. From here on it is owed one final answer.
+func (r *Router) Arrived(now Time, id RequestID, deadline Time, class, tenant int, key string, tables int,
 	f Foreseen) {
 	r.now = now
 	if tenant < 0 || tenant >= len(r.used) {
 		tenant = 0
 	}
-	l := &r.d.Lanes[lane]
+	l := &r.d.Classes[class]
 	r.seq++
 	r.credit = min(mostCredit, r.credit+probeBudget/max(probeBudget/mostCredit, r.d.ProbePrice))
 	r.room += peerBudget * 256 / max(peerBudget, r.d.PeerPrice)
-	i := r.seat(task{id: id, lane: lane, tenant: tenant, tables: tables, arrived: now, cutoff: cutoff,
+	i := r.seat(request{id: id, class: class, tenant: tenant, tables: tables, arrived: now, deadline: deadline,
 		Foreseen: f, seq: r.seq, engine: none, rank: 1})
-	t := &r.tasks[i]
+	t := &r.requests[i]
 	t.mayRan, t.doubtAt, t.doubtZone, t.doubtGroup = f.Past.MayRan, f.Past.DoubtAt, f.Past.Zone, f.Past.Group
-	length := r.lanes[lane].work
+	length := r.classes[class].work
 	if f.Work > 0 {
 		length = float64(f.Work)
-		r.learnWork(&r.lanes[lane], length)
+		r.learnWork(&r.classes[class], length)
 	}
-	t.quoted = min(cutoff, now+l.Quoted+Time(l.Stretch*length/float64(l.Threads)))
+	t.target = min(deadline, now+l.LatencyTarget+Time(l.Stretch*length/float64(l.Threads)))
 	if s := r.span(); s != nil {
 		s.taken++
 	}
@@ -214,28 +214,28 @@
 	}
 	r.hold(i)
 	r.look()
-	if n, p := r.poolOf(t), r.price(lane, length); p < 0.99*r.bestPrice && p < r.pools[n].bar*r.bestPrice {
+	if n, p := r.poolOf(t), r.price(class, length); p < 0.99*r.bestPrice && p < r.pools[n].bar*r.bestPrice {
 		r.pools[n].wanted = now
 		r.giveUp(i)
 		return
 	}
 	r.release()
 	r.keepSeats()
-	if t := &r.tasks[i]; t.queued && now >= r.latest(t) {
+	if t := &r.requests[i]; t.queued && now >= r.latest(t) {
 		r.giveUp(i) // it came too late to wait for the next tick
 	}
 }
 
-// keepSeats gives up the held task that would leave last, by earnings and arrival, while nearly all that the
+// keepSeats gives up the held request that would leave last, by value and arrival, while nearly all that the
 // gateway can have in hand is taken. Guards against shedding by chance: who finds no seat, dear or cheap,
 // does not come here. Harm: cuts short a queue that would have been served soon, where seats are few.
 func (r *Router) keepSeats() {
 	const spare = 8 // a part of the seats: for what comes while answers are on their way, or in a stall of 50 ms
-	for n := len(r.ladder) - 1; n >= 0 && r.d.Seats > 0 && len(r.byID) > r.d.Seats-r.d.Seats/spare; n-- {
+	for n := len(r.byValue) - 1; n >= 0 && r.d.Seats > 0 && len(r.byID) > r.d.Seats-r.d.Seats/spare; n-- {
 		for _, tenant := range r.tenants {
-			if q := r.queues[tenant*len(r.d.Lanes)+r.ladder[n]]; len(q) > 0 {
+			if q := r.queues[tenant*len(r.d.Classes)+r.byValue[n]]; len(q) > 0 {
 				last := q[len(q)-1]
-				r.pools[r.poolOf(&r.tasks[last])].wanted = r.now
+				r.pools[r.poolOf(&r.requests[last])].wanted = r.now
 				r.giveUp(last)
 				return
 			}
@@ -243,13 +243,13 @@
 	}
 }
 
-// moveBar sets the least price, in earnings for work, at which tasks are taken on: up while a held task has
-// used up half of its useful time, else down. By earnings alone cheap lanes would starve behind dear ones.
+// moveBar sets the least price, in value for work, at which requests are taken on: up while a held one has
+// used up half of its useful time, else down. By value alone cheap classes would starve behind dear ones.
 // Each pool has its own: one that is crowded or gone turns nobody away elsewhere.
-// Harm: where estimates are off beyond what answers correct, a lane is shed before others.
+// Harm: where estimates are off beyond what answers correct, a class is shed before others.
 func (p *pool) moveBar() {
 	const rise, fall = 1.06, 0.97     // a tick: doubled in a quarter of a second, halved in twice that
-	const lowest, highest = 0.02, 1.5 // of the best lane's price, whose usual tasks pass all the same
+	const lowest, highest = 0.02, 1.5 // of the best class's price, whose usual requests pass all the same
 	if p.starving {
 		p.bar, p.starving = min(highest, max(lowest, p.bar*rise)), false
 	} else if p.bar *= fall; p.bar < lowest {
@@ -257,8 +257,8 @@
 	}
 }
 
-// release hands off held tasks while engines have room: by tenant fairness (the fewest threads in use for its
-// share first), then earnings, then arrival.
+// release sends held requests while engines have room: by tenant fairness (the fewest threads in use for its
+// share first), then value, then arrival.
 func (r *Router) release() {
 	for r.held > 0 && r.releaseOne() {
 	}
@@ -269,21 +269,21 @@
 		slices.SortStableFunc(r.tenants, func(a, b int) int { return cmp.Compare(r.use(a), r.use(b)) })
 	}
 	for _, tenant := range r.tenants {
-		for _, lane := range r.ladder {
-			tried := uint64(0) // classes of which one found no engine
-			for _, i := range r.queues[tenant*len(r.d.Lanes)+lane] {
-				t := &r.tasks[i]
-				if tried>>t.Class&1 == 1 && t.tries == 0 && t.key == "" {
+		for _, class := range r.byValue {
+			tried := uint64(0) // policy classes of which one found no engine
+			for _, i := range r.queues[tenant*len(r.d.Classes)+class] {
+				t := &r.requests[i]
+				if tried>>t.PolicyClass&1 == 1 && t.tries == 0 && t.key == "" {
 					continue
 				}
-				if e := r.draw(t); e != none && r.handOff(i, e) {
+				if e := r.draw(t); e != none && r.send(i, e) {
 					return true
 				}
 				if t.tries == 0 && t.key == "" {
 					if r.gate == nil {
-						break // what follows it in this lane has no more choice than this one
+						break // what follows it in this class has no more choice than this one
 					}
-					tried |= 1 << t.Class // nor has what is of its class
+					tried |= 1 << t.PolicyClass // nor has what is of its policy class
 				}
 			}
 		}
@@ -294,12 +294,12 @@
 func (r *Router) use(n int) float64 { return r.used[n] / max(0.001, r.d.Tenants[n].Share) }
 
 // draw picks an engine at random, weighted down by its busy share.
-func (r *Router) draw(t *task) int32 {
+func (r *Router) draw(t *request) int32 {
 	if !r.mayTry(t) {
 		return none
 	}
 	total, pick := 0.0, none
-	least := r.leastDistrust(r.poolOf(t))
+	least := r.leastScore(r.poolOf(t))
 	for i := range r.engines {
 		e := &r.engines[i]
 		over := r.score(e) - least
@@ -311,7 +311,7 @@
 		const steep, floor = 2, 0.05
 		w := e.cores * math.Pow(max(floor, 1.1-r.load(e)), steep) * trust * r.suits(t, e)
 		if int32(i) == t.engine {
-			w *= floor // a further hand-off rather goes elsewhere
+			w *= floor // a retry rather goes elsewhere
 		}
 		total += w
 		if r.rng.Float64()*total < w {
@@ -321,18 +321,18 @@
 	return pick
 }
 
-// suits weighs an engine by the tables that a task reads: engines keep what they read last warm, and a load
-// holds its tables against others. From the ids alone every gateway finds the same third of engines for a
-// group's reads and another third for its loads. Harm: where one group is most of the traffic.
-func (r *Router) suits(t *task, e *engine) float64 {
+// suits weighs an engine by the tables that a request reads: engines keep what they read last warm, and a
+// load holds its tables against others. From the ids alone every gateway finds the same third of engines for
+// a group's reads and another third for its loads. Harm: where one group is most of the traffic.
+func (r *Router) suits(t *request, e *engine) float64 {
 	const strong = 4 // 2 warms less, 8 crowds the same few engines
-	l := &r.d.Lanes[t.lane]
+	l := &r.d.Classes[t.class]
 	h := (e.hash ^ uint32(t.tables)*2654435761) * 2246822519
 	side := (h ^ h>>15) * 3266489917 >> 16 % 3
 	switch {
 	case side == 0 && !l.Load, side == 1 && l.Load:
 		return strong
-	case side == 1 && l.HeldByLoads, side == 0 && l.Load:
+	case side == 1 && l.BlockedByLoads, side == 0 && l.Load:
 		return 1.0 / strong
 	}
 	return 1
@@ -348,8 +348,8 @@
 }
 
 // told is the busy share that an engine reports: of the queries that the threshold allows it, or of its
-// cores, memory or disks, whichever is scarcest. Cores idle under tasks that wait for the others, which then
-// take long: where answers tell work, the share counts as many times as tasks took of their work lately.
+// cores, memory or disks, whichever is scarcest. Cores idle under requests that wait for the others, which
+// then take long: where answers tell work, the share counts as many times as requests took of it lately.
 func (r *Router) told(e *engine, report Report, util float64) float64 {
 	if report.Held >= 0 {
 		return report.Held / e.cores * r.query() / threshold
@@ -361,12 +361,12 @@
 	return share
 }
 
-// open tells whether an engine has room under its bound, which distrust narrows. At zero one query may go if
-// none of ours runs there, with a chance of one over the gateways each tick. This tick is the time that the
-// engine needs for the work of a task like those sent lately, shorter the less of the engine is busy: all
-// gateways together let in what it can take, however many they are, and the order says which task goes.
+// open tells whether an engine has room under its bound, which its failure score narrows. At zero one query
+// may go if none of ours runs there, with a chance of one over the gateways each tick. This tick is the time
+// that the engine needs for the work of a request like those sent lately, shorter the less of the engine is
+// busy: all gateways together let in what it can take, however many they are, and the order says which goes.
 // In its turn at a cold engine a gateway has all parts of its bound.
-func (r *Router) open(e *engine, t *task, trust float64) bool {
+func (r *Router) open(e *engine, t *request, trust float64) bool {
 	if e.bound >= 1 {
 		return e.running < e.bound*trust
 	}
@@ -376,7 +376,7 @@
 		return false
 	}
 	need := e.luck * r.usual / (e.cores * trust * r.suits(t, e))
-	if r.credit >= 1 && r.d.Lanes[t.lane].Threads > 1 && r.now-e.probedAt >= fastestProbe &&
+	if r.credit >= 1 && r.d.Classes[t.class].Threads > 1 && r.now-e.probedAt >= fastestProbe &&
 		need < 2*eager(e, r.busy) {
 		r.probe(e) // one of several threads placed wrongly costs more than a look first
 	}
@@ -385,9 +385,9 @@
 
 // eager is how many times an engine's work all gateways together may let in at zero by its busy share: about
 // as much as it can do at three quarters, and still some on one that reports itself full, as reports grow
-// old. Where memory and disks are told too, less hides behind idle cores: 3 there kept long tasks waiting, 8
-// elsewhere filled engines before it showed. Where held queries are told, a fill shows in the next report: no
-// pace while it tells room, as 8, 14 and 30 held back the more, the lower they were.
+// old. Where memory and disks are told too, less hides behind idle cores: 3 there kept long requests waiting,
+// 8 elsewhere filled engines before it showed. Where held queries are told, a fill shows in the next report:
+// no pace while it tells room, as 8, 14 and 30 held back the more, the lower they were.
 func eager(e *engine, busy float64) float64 {
 	pace := 3.0
 	if e.report.Held >= 0 && busy < 1 {
@@ -398,40 +398,40 @@
 	return max(0.06, pace*(1-busy)/(0.1+busy))
 }
 
-// mayTry is the part of the rules that doesn't depend on the engine: one hand-off at a time, none after the
-// end, the order of keys, the most hand-offs of a task, the ration of further ones.
-func (r *Router) mayTry(t *task) bool {
-	if t.out || t.gone || r.now >= t.cutoff || r.spent(t) ||
-		t.Class > 0 && !r.gate.Open(r.now, t.Class, float64(r.d.Lanes[t.lane].Threads)) {
+// mayTry is the part of the rules that doesn't depend on the engine: one attempt at a time, none after the
+// end, the order of keys, the most attempts of a request, the retry budget of further ones.
+func (r *Router) mayTry(t *request) bool {
+	if t.out || t.gone || r.now >= t.deadline || r.spent(t) ||
+		t.PolicyClass > 0 && !r.gate.Open(r.now, t.PolicyClass, float64(r.d.Classes[t.class].Threads)) {
 		return false
 	}
 	if t.key != "" {
-		if turn := r.turns[t.key]; r.tasks[turn.line[0]].id != t.id || r.now < turn.rest && t.tries == 0 {
+		if turn := r.turns[t.key]; r.requests[turn.line[0]].id != t.id || r.now < turn.rest && t.tries == 0 {
 			return false
 		}
 	}
-	return r.mayRepeat(t) && (t.tries == 0 || r.rationed())
+	return r.mayRepeat(t) && (t.tries == 0 || r.withinRetryBudget())
 }
 
-func (r *Router) spent(t *task) bool { return r.d.MaxTries > 0 && t.tries >= r.d.MaxTries }
+func (r *Router) spent(t *request) bool { return r.d.MaxAttempts > 0 && t.tries >= r.d.MaxAttempts }
 
-// mayRepeat tells whether the task's lane allows a hand-off to any engine at all; after two errors none does.
-func (r *Router) mayRepeat(t *task) bool {
-	l := &r.d.Lanes[t.lane]
+// mayRepeat tells whether the request's class allows an attempt at any engine; after two errors none does.
+func (r *Router) mayRepeat(t *request) bool {
+	l := &r.d.Classes[t.class]
 	return !t.mayRan ||
-		t.errors < 2 && (l.Effect == Idempotent || l.Effect == Deduplicated && r.now < t.doubtAt+l.Remember)
+		t.errors < 2 && (l.Effect == Idempotent || l.Effect == Deduplicated && r.now < t.doubtAt+l.DedupWindow)
 }
 
 // mayUse is the part of the rules that depends on the engine: drains, placement, the group that drops repeats
 // and the care for cold engines.
-func (r *Router) mayUse(t *task, e *engine) bool {
-	l := &r.d.Lanes[t.lane]
+func (r *Router) mayUse(t *request, e *engine) bool {
+	l := &r.d.Classes[t.class]
 	if e.State != Live || l.Zones != nil && !slices.Contains(l.Zones, e.Zone) ||
 		l.Kinds != nil && !slices.Contains(l.Kinds, e.Kind) || !r.in(r.poolOf(t), e) {
 		return false
 	}
-	if t.mayRan && l.Effect == Deduplicated && (l.Within == SameZone && e.Zone != t.doubtZone ||
-		l.Within == SameCell && (e.Group != t.doubtGroup || e.Zone != t.doubtZone)) {
+	if t.mayRan && l.Effect == Deduplicated && (l.DedupWithin == SameZone && e.Zone != t.doubtZone ||
+		l.DedupWithin == SameCell && (e.Group != t.doubtGroup || e.Zone != t.doubtZone)) {
 		return false
 	}
 	return !r.isCold(e) || r.coldRoom(e, t)
@@ -443,11 +443,11 @@
 
 // coldRoom tells whether a cold engine can be sent some work. All routers together may send a multiple of its
 // present capacity, of which only the least is known. Where they share no budget by messages they take turns
-// by their numbers, a span each with one of rest: so no span sees two, and no part is below a task.
-func (r *Router) coldRoom(e *engine, t *task) bool {
-	const careful = 0.5     // of the budget: engines are slower than their cores tell
-	d := &r.d.Lanes[t.lane] // its work is taken for rather too much until it is learned
-	work := r.coldWork(t) + float64(d.Quoted)*float64(d.Threads)/(r.lanes[t.lane].tasks+1)
+// by their numbers, a span each with one of rest: so no span sees two, and no part is below a request.
+func (r *Router) coldRoom(e *engine, t *request) bool {
+	const careful = 0.5        // of the budget: engines are slower than their cores tell
+	d := &r.d.Classes[t.class] // its work is taken for rather too much until it is learned
+	work := r.coldWork(t) + float64(d.LatencyTarget)*float64(d.Threads)/(r.classes[t.class].requests+1)
 	all := careful * r.d.TipFactor * r.d.ColdShare * e.cores * float64(r.d.TipAfter)
 	if room, shared := r.host.ColdRoom(e.Engine, work/all); shared {
 		return room
@@ -462,34 +462,34 @@
 	return e.cold+work <= all
 }
 
-// coldWork is what a task counts against a cold engine's budget: what nine of ten stay under, where told.
-func (r *Router) coldWork(t *task) float64 { return max(r.lanes[t.lane].work, float64(t.Upper)) }
+// coldWork is what a request counts against a cold engine's budget: what nine of ten stay under, where told.
+func (r *Router) coldWork(t *request) float64 { return max(r.classes[t.class].work, float64(t.Upper)) }
 
-// The ration's window is counted in this many spans; one more is kept, so that whole spans cover the window.
+// The retry budget's window is counted in this many spans; one more is kept, so that whole ones cover it.
 const spans = 50
 
-// rationed tells whether one more further hand-off is within the ration: all further ones that may fall into
-// the window count, and only the tasks that surely do.
-func (r *Router) rationed() bool {
+// withinRetryBudget tells whether one more retry is within the budget: all retries that may fall into the
+// window count, and only the requests that surely do.
+func (r *Router) withinRetryBudget() bool {
 	last := r.span()
 	taken, extra := r.window(last)
-	return last == nil || extra+1 <= r.d.ExtraFree+r.d.ExtraShare*taken
+	return last == nil || extra+1 <= r.d.RetryBurst+r.d.RetryRatio*taken
 }
 
-// handOff is the only place that sends a task to an engine. It holds the rules whatever was decided before.
-func (r *Router) handOff(i, to int32) bool {
-	t, e := &r.tasks[i], &r.engines[to]
+// send is the only place that sends a request to an engine. It holds the rules whatever was decided before.
+func (r *Router) send(i, to int32) bool {
+	t, e := &r.requests[i], &r.engines[to]
 	if !r.mayTry(t) || !r.mayUse(t, e) {
 		return false
 	}
 	r.unhold(i)
-	l, learned := &r.d.Lanes[t.lane], &r.lanes[t.lane]
+	l, learned := &r.d.Classes[t.class], &r.classes[t.class]
 	threads := float64(l.Threads)
 	if s := r.span(); s != nil && t.tries > 0 {
 		s.extra++
 	}
 	t.out, t.engine, t.sentAt, t.heardAt = true, to, r.now, r.now
-	r.usual += 0.2 * (learned.work - r.usual) // some five hand-offs
+	r.usual += 0.2 * (learned.work - r.usual) // some five attempts
 	t.tries++
 	if r.isCold(e) {
 		e.cold += r.coldWork(t)
@@ -513,30 +513,31 @@
 		t.rank = rank
 		r.host.Terms(t.id, grant, rank)
 	}
-	t.until = t.cutoff
+	t.until = t.deadline
 	if r.d.Cancels {
-		// Past the quoted time a task is let run for the part of its time that matches what it still earns;
+		// Past the latency target a request is let run for the part of its time that matches what it still earns;
 		// an engine that stops work at a time-out is freed for others. Guards against jams that feed themselves.
-		t.until = min(t.cutoff, max(t.quoted, r.now+1)+Time(l.LateShare*float64(t.cutoff-t.quoted)))
+		t.until = min(t.deadline, max(t.target, r.now+1)+Time(l.LateShare*float64(t.deadline-t.target)))
 	}
 	sendBy := Time(0)
 	if t.mayRan && l.Effect == Deduplicated {
-		sendBy = t.doubtAt + l.Remember // a connection may take longer to come up than engines remember
+		sendBy = t.doubtAt + l.DedupWindow // a connection may take longer to come up than engines remember
 	}
-	r.host.HandOff(t.id, e.Engine, t.until-r.now, sendBy)
+	r.host.Send(t.id, e.Engine, t.until-r.now, sendBy)
 	return true
 }
 
-// Ended takes in how a task's hand-off ended, and what the answer told of work, memory and the engine's load;
-// over: the client has its answer.
-func (r *Router) Ended(now Time, id TaskID, how Outcome, over bool, work Time, memory float64, load Report) {
+// Ended takes in how a request's attempt ended, and what the answer told of work, memory and the engine's
+// load; over: the client has its answer.
+func (r *Router) Ended(now Time, id RequestID, how Outcome, over bool, work Time, memory float64,
+	load Report) {
 	r.now = now
 	i, ok := r.byID[id]
-	if !ok || !r.tasks[i].out {
+	if !ok || !r.requests[i].out {
 		return
 	}
-	t := &r.tasks[i]
-	e, l := &r.engines[t.engine], &r.d.Lanes[t.lane]
+	t := &r.requests[i]
+	e, l := &r.engines[t.engine], &r.d.Classes[t.class]
 	threads := float64(l.Threads)
 	t.out = false
 	const fade = 0.95 // some twenty answers; what ends in the tick that it went out tells of no time held
@@ -550,22 +551,22 @@
 		e.since -= threads
 	}
 	switch how {
-	case Delivered:
+	case Served:
 		r.learn(t, work, memory)
 		r.tell(e, Answered)
 	case Unreachable, Reset:
-		r.doubt(e, 2, Unreached)
+		r.addFailure(e, 2, Unreached)
 	case Errored, Lost: // spoilt answers come from any engine alike, one that is gone fails dials and probes too
-		r.doubt(e, 0.5*float64(1-t.errors), Erred) // a second one tells of the task: clients ask for what no engine
+		r.addFailure(e, 0.5*float64(1-t.errors), Erred) // a second one tells of the request: no engine has it
 		t.errors++
 	case TimedOut, Cancelled:
 		if e.bound < 1 { // which has no step left to take
-			r.doubt(e, 1, Unanswered)
+			r.addFailure(e, 1, Unanswered)
 		}
 	case Full:
 		r.stepBound(e, threshold, Second)
 	}
-	if how != Delivered && !how.NeverRan() {
+	if how != Served && !how.NeverRan() {
 		if !t.mayRan {
 			t.mayRan, t.doubtAt, t.doubtZone, t.doubtGroup = true, t.sentAt, e.Zone, e.Group
 		}
@@ -586,37 +587,38 @@
 	r.release()
 }
 
-// latest is until when holding a task has a useful chance: started then, it is answered within its quoted
-// time if it runs as its lane usually does. It is always answered before its cut-off.
-func (r *Router) latest(t *task) Time {
-	usual := r.lanes[t.lane].run
+// latest is until when holding a request has a useful chance: started then, it is answered within its quoted
+// time if it runs as its class usually does. It is always answered before its deadline.
+func (r *Router) latest(t *request) Time {
+	usual := r.classes[t.class].run
 	if t.Work > 0 {
-		usual *= float64(t.Work) / r.lanes[t.lane].work
+		usual *= float64(t.Work) / r.classes[t.class].work
 	}
-	const slack, most = 1.5, 2.0 / 3 // usual runs kept free, and at most this part of the time to the quoted one
-	free := min(slack*usual, most*float64(t.quoted-t.arrived))
-	return min(t.quoted-Time(free), t.cutoff-2*tick)
+	const slack, most = 1.5, 2.0 / 3 // usual runs kept free, and at most this part of the time to the target
+	free := min(slack*usual, most*float64(t.target-t.arrived))
+	return min(t.target-Time(free), t.deadline-2*tick)
 }
 
-// giveUp is the only place that answers a task without an engine: a nack where a further try is harmless.
+// giveUp is the only place that answers a request without an engine: by a rejection where a further try is
+// harmless.
 func (r *Router) giveUp(i int32) {
-	t, l := &r.tasks[i], &r.d.Lanes[r.tasks[i].lane]
+	t, l := &r.requests[i], &r.d.Classes[r.requests[i].class]
 	if t.out || t.gone {
 		return
 	}
-	if !t.mayRan || l.Effect == Idempotent || l.Effect == Deduplicated && l.Within == AllEngines {
-		r.host.Nack(t.id, r.d.ComeBack)
+	if !t.mayRan || l.Effect == Idempotent || l.Effect == Deduplicated && l.DedupWithin == AllEngines {
+		r.host.Reject(t.id, r.d.RetryAfter)
 	} else {
-		r.host.WriteOff(t.id)
+		r.host.Fail(t.id)
 	}
 	r.drop(i)
 }
 
-// ClientGone ends a task whose client left. A hand-off that is out still gets its outcome.
-func (r *Router) ClientGone(now Time, id TaskID) {
+// ClientGone ends a request whose client left. A attempt that is out still gets its outcome.
+func (r *Router) ClientGone(now Time, id RequestID) {
 	r.now = now
 	if i, ok := r.byID[id]; ok {
-		if t := &r.tasks[i]; t.out {
+		if t := &r.requests[i]; t.out {
 			t.gone = true
 		} else {
 			r.drop(i)
@@ -628,8 +630,8 @@
 // learn's usual run follows the engines' state, some twenty answers back; work and memory are long means.
 const recent, many = 0.05, 300
 
-func (r *Router) learn(t *task, work Time, memory float64) {
-	l, run := &r.lanes[t.lane], float64(r.now-t.sentAt)
+func (r *Router) learn(t *request, work Time, memory float64) {
+	l, run := &r.classes[t.class], float64(r.now-t.sentAt)
 	l.answers = min(l.answers+1, many)
 	l.run += max(recent, 1/l.answers) * (run - l.run)
 	l.memory += 1 / l.answers * (memory - l.memory)
@@ -637,69 +639,69 @@
 	if t.Work == 0 {
 		r.learnWork(l, cost)
 	}
-	// How many times its work a task takes where nothing is crowded: it falls with the answers and hardly rises.
-	if ratio := run * float64(r.d.Lanes[t.lane].Threads) / max(1, cost); l.answers == 1 || ratio < l.ease {
+	// How many times its work a request takes where nothing is crowded: falls with answers and hardly rises.
+	if ratio := run * float64(r.d.Classes[t.class].Threads) / max(1, cost); l.answers == 1 || ratio < l.ease {
 		l.ease += max(recent, 1/l.answers) * (ratio - l.ease)
 	} else {
 		l.ease += recent / many * (min(ratio, 3*l.ease) - l.ease)
 	}
 }
 
-// cost is a task's work, as its answer tells, else as estimated; else it took what it ran.
-func (r *Router) cost(t *task, work Time) float64 {
-	run := float64(r.now-t.sentAt) * float64(r.d.Lanes[t.lane].Threads)
+// cost is a request's work, as its answer tells, else as estimated; else it took what it ran.
+func (r *Router) cost(t *request, work Time) float64 {
+	run := float64(r.now-t.sentAt) * float64(r.d.Classes[t.class].Threads)
 	if told := max(work, t.Work); told > 0 {
 		return float64(told)
 	} else if r.d.TellsCost {
-		return min(run, r.lanes[t.lane].work) // no answer came
+		return min(run, r.classes[t.class].work) // no answer came
 	}
 	return run
 }
 
-// learnWork takes a task's work into its lane's mean: estimates when tasks come, else what answers tell.
+// learnWork takes a request's work into its class's mean: estimates on arrival, else what answers tell.
 func (r *Router) learnWork(l *learned, work float64) {
-	l.tasks = min(l.tasks+1, many)
-	l.work += 1 / (l.tasks + 1) * (work - l.work) // what it started from counts as one
+	l.requests = min(l.requests+1, many)
+	l.work += 1 / (l.requests + 1) * (work - l.work) // what it started from counts as one
 }
 
-// price is what a task earns for its work, as far as the lane's answers bear out what was told of it:
-// estimates can be far too high or too low for a lane as a whole, but none is trusted to be five times too
+// price is what a request earns for its work, as far as the class's answers bear out what was told of it:
+// estimates can be far too high or too low for a class as a whole, but none is trusted to be five times too
 // high.
-func (r *Router) price(lane int, work float64) float64 {
-	return r.d.Lanes[lane].Earnings / work / max(0.2, r.lanes[lane].ease)
+func (r *Router) price(class int, work float64) float64 {
+	return r.d.Classes[class].Value / work / max(0.2, r.classes[class].ease)
 }
 
-// rankLanes orders lanes by earnings for the work they take. Shares go up by steps of two to four, so a lane
+// rankLanes orders classes by value for the work they take. Shares go up by steps of two to four, so a class
 // with half of the best price gets the next lower rank.
 func (r *Router) rankLanes() {
 	r.bestPrice = 0
-	for i := range r.lanes {
-		r.bestPrice = max(r.bestPrice, r.price(i, r.lanes[i].work))
+	for i := range r.classes {
+		r.bestPrice = max(r.bestPrice, r.price(i, r.classes[i].work))
 	}
-	for i := range r.lanes {
-		if l := &r.lanes[i]; r.d.Ranked {
+	for i := range r.classes {
+		if l := &r.classes[i]; r.d.Ranked {
 			l.rank = 1 + min(2, int(r.price(i, l.work)/r.bestPrice/0.35))
 		}
 	}
 }
 
-// Noted takes in news of a running hand-off.
-func (r *Router) Noted(now Time, id TaskID, n int, news News, value float64) {
+// Noted takes in news of a running attempt.
+func (r *Router) Noted(now Time, id RequestID, n int, news News, value float64) {
 	r.now = now
 	i, ok := r.byID[id]
 	if !ok {
 		return
 	}
-	t := &r.tasks[i]
+	t := &r.requests[i]
 	if t.out && t.tries == n+1 {
 		t.heardAt = now
 	}
 	if news != Progress || !t.out || t.gone || t.tries != n+1 || !r.d.Cancels ||
-		r.d.Lanes[t.lane].Effect != Idempotent || r.spent(t) {
+		r.d.Classes[t.class].Effect != Idempotent || r.spent(t) {
 		return
 	}
-	// What by its progress needs nearly all that is left of its patience, or more, is called off: it would end
-	// in a time-out, and hold room till then. Guards against bad plans, drawn anew at each hand-off, engines
+	// What by its progress needs nearly all that is left of its timeout, or more, is called off: it would end
+	// in a time-out, and hold room till then. Guards against bad plans, drawn anew at each attempt, engines
 	// that slow down or swap, and loads in the way. Harm: work done for nothing where it would have sped up
 	// again.
 	const hopeless = 0.8 // progress is rough; 1 did as well, 1.5 let more engines jam
@@ -711,10 +713,10 @@
 // The signal's threshold: held queries a core times the threads of one (query).
 const threshold = 2
 
-// query is what a held query stands for: threads of our hand-offs by their time out; the lanes' at first.
+// query is what a held query stands for: threads of our attempts by their time out; the classes' at first.
 func (r *Router) query() float64 { return r.ran / r.runs }
 
-// wanted tells whether a task of an engine's pools was given up for want of room within the last second.
+// wanted tells whether a request of an engine's pools was given up for want of room within the last second.
 func (r *Router) wanted(e *engine) bool {
 	for n := range r.pools {
 		if r.now-r.pools[n].wanted < Second && r.in(n, e) {
@@ -740,7 +742,7 @@
 	case util > high:
 		return threshold
 	case e.memory*float64(r.d.Gateways) > halfPart*e.size:
-		// No room either, though cores idle: what our hand-offs there need is half of our equal part of the
+		// No room either, though cores idle: what our attempts there need is half of our equal part of the
 		// memory, which is taken for full as needs scatter: more came too late, less held back sound engines.
 		return still
 	case util <= low:
@@ -748,7 +750,7 @@
 	}
 	if part := threshold * e.cores / float64(r.d.Gateways); signal < threshold && r.wanted(e) &&
 		e.running-e.since < part {
-		// An exception to the still band: while held tasks are given up for want of room and our own count is
+		// An exception to the still band: while held requests are given up for want of room and our own count is
 		// under our part of the threshold, room is taken: the band is wide, and a bound stepped down in a burst,
 		// or a gateway that came to less than its part, would stay there. Harm: where a shortage hides.
 		return 0
@@ -772,8 +774,8 @@
 	e.steppedAt = r.now
 }
 
-// Probes are paid for by the tasks taken: their price stays at probeBudget of the service, too small to be
-// seen in it, however many gateways there are, and reports come when there is something to hand off.
+// Probes are paid for by the requests taken: their price stays at probeBudget of the service, too small to be
+// seen in it, however many gateways there are, and reports come when there is something to send.
 const (
 	probeBudget  = 0.005
 	mostCredit   = 8.0               // a stalled router doesn't probe for all that came meanwhile
@@ -811,8 +813,8 @@
 	if !ok {
 		return
 	}
-	if r.engines[i].probing = false; how != Delivered {
-		r.doubt(&r.engines[i], 1.5, Unanswered)
+	if r.engines[i].probing = false; how != Served {
+		r.addFailure(&r.engines[i], 1.5, Unanswered)
 		return
 	}
 	r.reported(i, report)
@@ -823,7 +825,7 @@
 
 // Heard takes in what peers saw of an engine. Their reports tell how busy engines are as a whole, and step a
 // bound where ours is stale; in the draw they had all routers run to the same engines. What is said against
-// one adds to its distrust until it is old: who hears nothing decides as one without peers.
+// one adds to its failure score until it is old: who hears nothing decides as one without peers.
 func (r *Router) Heard(now Time, f *Finding) {
 	r.now = now
 	if i, ok := r.named[f.Engine]; ok && r.engines[i].Since == f.Since {
@@ -858,40 +860,40 @@
 	r.tell(e, Reported)
 }
 
-// Distrust: failures add to an engine's score, which halves every halfLife; its bound and its weight in the
+// Failures add to an engine's score, which halves every halfLife; its bound and its weight in the
 // draw halve with each point, and at shut it gets nothing. It counts above the least of the fleet's: what
 // strikes all condemns none. A broken or refused connection adds 2, so that two in a row shut an engine; a
 // silent probe 1.5, as one may be chance; an error 0.5, as single errors are common. A time-out or a hopeless
-// hand-off adds 1 where the bound is at zero: it can't step down from an engine that others have jammed.
+// attempt adds 1 where the bound is at zero: it can't step down from an engine that others have jammed.
 const (
 	halfLife    = 1500 * Millisecond // a struck engine is back under shut within some three seconds
 	shut        = 3.0
 	mostDoubted = 8.0
 )
 
-func (r *Router) doubt(e *engine, points float64, saw Sight) {
-	e.distrust, e.distrustAt = min(mostDoubted, e.own(r.now)+points), r.now
+func (r *Router) addFailure(e *engine, points float64, saw Sight) {
+	e.failures, e.failuresAt = min(mostDoubted, e.ownScore(r.now)+points), r.now
 	if points > 0 {
 		r.tell(e, saw)
 	}
-	if e.distrust-r.leastDistrust(0) >= shut && (e.saidAt == 0 || r.now-e.saidAt >= 10*Second) {
+	if e.failures-r.leastScore(0) >= shut && (e.saidAt == 0 || r.now-e.saidAt >= 10*Second) {
 		e.saidAt = r.now // a person acts on the first line
-		r.host.Say(fmt.Sprintf("engine %s distrusted: no new tasks until the score fades", e.Engine))
+		r.host.Say(fmt.Sprintf("engine %s distrusted: no new requests until the score fades", e.Engine))
 	}
 }
 
 // Shuts tells whether what peers say shuts an engine by itself, where all others are sound.
 func (f *Finding) Shuts() bool { return f.Against >= shut }
 
-// score is our own distrust and, while it counts, what peers say: one point a witness, so that three shut.
+// score is our own failure score and, while it counts, what peers say: one point a witness, so three shut.
 func (r *Router) score(e *engine) float64 {
 	if r.now < e.until {
-		return e.own(r.now) + e.against
+		return e.ownScore(r.now) + e.against
 	}
-	return e.own(r.now)
+	return e.ownScore(r.now)
 }
 
-func (r *Router) leastDistrust(pool int) float64 {
+func (r *Router) leastScore(pool int) float64 {
 	least := mostDoubted
 	for i := range r.engines {
 		if e := &r.engines[i]; e.State == Live && r.in(pool, e) {
@@ -901,7 +903,7 @@
 	return least
 }
 
-// Due is the timer: probes, steps where no report comes, the chance at a bound of zero, tasks given up.
+// Due is the timer: probes, steps where no report comes, the chance at a bound of zero, requests given up.
 func (r *Router) Due(now Time) {
 	r.now = now
 	if r.d.Asks && r.askAt > 0 && now >= r.askAt {
@@ -921,19 +923,19 @@
 			r.stepBound(e, r.signal(e), Second)
 		}
 	}
-	for i := range r.tasks {
-		t := &r.tasks[i]
+	for i := range r.requests {
+		t := &r.requests[i]
 		// Notes come at their pace while work runs: one without any for a pace and a half has hung, or its answer
-		// is lost; it is called off, to go again as its lane allows. Two paces lost (leerkaart quick 0.735, 0.725).
+		// is lost; it is cancelled, to go again as its class allows. Two paces lost (leerkaart quick 0.735, 0.725).
 		if t.out && r.d.Pace > 0 && r.d.Cancels && 2*(now-t.heardAt) > 3*r.d.Pace {
 			t.heardAt = t.until
-			r.doubt(&r.engines[t.engine], 1.5, Unanswered) // as a silent probe
+			r.addFailure(&r.engines[t.engine], 1.5, Unanswered) // as a silent probe
 			r.host.Cancel(t.id, t.tries-1)
 		}
 		if t.id == "" || t.out {
 			continue
 		}
-		last, p, can := r.latest(t), r.poolOf(t), t.Class == 0 || r.mayTry(t)
+		last, p, can := r.latest(t), r.poolOf(t), t.PolicyClass == 0 || r.mayTry(t)
 		r.pools[p].starving = r.pools[p].starving || t.queued && now-t.arrived > (last-t.arrived)/2 && r.mayTry(t)
 		if now >= last {
 			if can { // not for its class's limit alone
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -13,17 +13,17 @@
 
 // Each script's trace is kept in testdata/NAME.txt.
 var scripts = map[string]func() *script{
-	"ordinary": func() *script { // one hand-off each while there is room, then by earnings, then arrival
+	"ordinary": func() *script { // one attempt each while there is room, then by value, then arrival
 		s := start(deployment(), "e1")
 		s.engines[0].bound = 2
-		s.task("a", 0, 0, "")
-		s.task("b", 0, 0, "")
-		s.task("cheap1", 0, 0, "")
-		s.task("cheap2", 0, 0, "")
-		s.task("dear", 1, 0, "")
-		for i, id := range []TaskID{"a", "b", "dear", "cheap1", "cheap2"} {
+		s.arrives("a", 0, 0, "")
+		s.arrives("b", 0, 0, "")
+		s.arrives("cheap1", 0, 0, "")
+		s.arrives("cheap2", 0, 0, "")
+		s.arrives("dear", 1, 0, "")
+		for i, id := range []RequestID{"a", "b", "dear", "cheap1", "cheap2"} {
 			s.pass(Time(i+1) * 20 * Millisecond)
-			s.end(id, Delivered)
+			s.end(id, Served)
 		}
 		return s
 	},
@@ -35,15 +35,15 @@
 			f.Engine, f.Until, f.ReportAt = "e1", s.at+10*Second, s.at
 			s.Heard(s.at, &f)
 			e := &s.engines[0]
-			s.say("heard of e1: against %.1f, score %.1f, own %.1f, busy %.2f, signal %.2f", f.Against, s.score(e), e.own(s.at), s.busy, s.signal(e))
+			s.say("heard of e1: against %.1f, score %.1f, own %.1f, busy %.2f, signal %.2f", f.Against, s.score(e), e.ownScore(s.at), s.busy, s.signal(e))
 		}
 		hear(Finding{Since: 7, Against: 3, Report: NoReport})
 		hear(Finding{Against: 2, Report: Report{-1, 0.95, -1, -1}})
-		s.task("a", 0, 0, "")
+		s.arrives("a", 0, 0, "")
 		hear(Finding{Against: 3, Report: NoReport})
-		s.task("b", 0, 0, "")
+		s.arrives("b", 0, 0, "")
 		s.end("b", Errored)
-		s.end("a", Delivered)
+		s.end("a", Served)
 		s.at += 4 * Second
 		hear(Finding{Against: 3, Report: Report{-1, 0.95, -1, -1}})
 		s.pass(s.at + 10*Second)
@@ -55,13 +55,13 @@
 		d.Seats = 8
 		s := start(d, "e1")
 		s.engines[0].bound = 1
-		s.task("runs", 0, 0, "")
+		s.arrives("runs", 0, 0, "")
 		for i := range 6 {
-			s.task(TaskID(fmt.Sprint("cheap", i+1)), 0, 0, "")
+			s.arrives(RequestID(fmt.Sprint("cheap", i+1)), 0, 0, "")
 		}
-		s.task("dear", 1, 0, "")
-		s.task("cheap7", 0, 0, "")
-		s.end("runs", Delivered)
+		s.arrives("dear", 1, 0, "")
+		s.arrives("cheap7", 0, 0, "")
+		s.end("runs", Served)
 		return s
 	},
 	"tenants": func() *script { // the tenant with the fewest threads for its share goes first
@@ -69,11 +69,11 @@
 		d.Tenants = []Tenant{{Share: 0.75}, {Share: 0.25}}
 		s := start(d, "e1")
 		s.engines[0].bound = 1
-		for i, id := range []TaskID{"first0", "x0", "y0", "x1"} {
+		for i, id := range []RequestID{"first0", "x0", "y0", "x1"} {
 			s.Arrived(s.at, id, 10*Second, 0, i/3, "", 0, Foreseen{})
 		}
 		s.used[0] = 2
-		s.end("first0", Delivered)
+		s.end("first0", Served)
 		return s
 	},
 	"steps": func() *script { // the paper's rule: down, not when idle, up when full, still between, floor zero
@@ -99,11 +99,11 @@
 			show(fmt.Sprintf("utilisation %.2f", u))
 		}
 		e.util, e.running, s.pools[0].wanted = 0.6, 4, s.at
-		show("utilisation 0.60 while tasks are given up for want of room")
+		show("utilisation 0.60 while requests are given up for want of room")
 		e.running = 8
 		show("the same with two threads of ours a core")
 		e.report, e.running = Report{3.5, -1, -1, -1}, 4
-		show("3.5 held on 4 cores, 4 threads of ours, while tasks are given up")
+		show("3.5 held on 4 cores, 4 threads of ours, while requests are given up")
 		s.pools[0].wanted = 0
 		show("the same while none is given up")
 		e.running = 8
@@ -116,30 +116,30 @@
 		d.Gateways = 4
 		s := start(d, "e1")
 		s.engines[0].bound = 0
-		s.task("a", 1, 0, "")
-		s.task("b", 1, 0, "")
+		s.arrives("a", 1, 0, "")
+		s.arrives("b", 1, 0, "")
 		s.pass(400 * Millisecond)
 		return s
 	},
-	"effects": func() *script { // a task that may have run goes on only as its lane allows
+	"effects": func() *script { // a request that may have run goes on only as its class allows
 		s := start(deployment(), "e1", "e2")
-		s.task("idempotent", 0, 0, "")
+		s.arrives("idempotent", 0, 0, "")
 		s.end("idempotent", Reset)
-		s.task("unrepeatable", 2, 0, "")
+		s.arrives("unrepeatable", 2, 0, "")
 		s.end("unrepeatable", Full)
 		s.end("unrepeatable", Reset)
 		s.end("idempotent", Errored)
 		return s
 	},
-	"deduplicated": func() *script { // within its group and its window; without the group of all no nack
+	"deduplicated": func() *script { // within its group and its window; without the group of all no rejection
 		d := deployment()
-		d.Lanes[3].Within, d.Lanes[3].Remember = SameZone, 500*Millisecond
+		d.Classes[3].DedupWithin, d.Classes[3].DedupWindow = SameZone, 500*Millisecond
 		s := start(d)
 		s.list(Whole, Listing{Engine: "z0"}, Listing{Engine: "z1", Zone: 1})
-		s.task("a", 3, 0, "k")
-		first := s.engines[s.tasks[s.byID["a"]].engine].Zone
+		s.arrives("a", 3, 0, "k")
+		first := s.engines[s.requests[s.byID["a"]].engine].Zone
 		s.end("a", Errored)
-		s.say("same zone: %t", s.engines[s.tasks[s.byID["a"]].engine].Zone == first)
+		s.say("same zone: %t", s.engines[s.requests[s.byID["a"]].engine].Zone == first)
 		s.pass(600 * Millisecond)
 		s.end("a", Errored)
 		return s
@@ -147,49 +147,49 @@
 	"order": func() *script { // one at a time by key, with the rest after doubt; a give-up may come out of turn
 		d := deployment()
 		d.Settle = 300 * Millisecond
-		d.Lanes[3].Quoted = 5 * Second
+		d.Classes[3].LatencyTarget = 5 * Second
 		s := start(d, "e1", "e2")
-		s.task("k1", 3, 0, "k")
-		s.task("k2", 3, 0, "k")
-		s.task("other", 3, 0, "x")
+		s.arrives("k1", 3, 0, "k")
+		s.arrives("k2", 3, 0, "k")
+		s.arrives("other", 3, 0, "x")
 		s.end("k1", TimedOut)
-		s.end("k1", Delivered)
+		s.end("k1", Served)
 		s.pass(400 * Millisecond)
 		s.end("k2", TimedOut)
-		s.end("k2", Delivered)
-		s.end("other", Delivered)
+		s.end("k2", Served)
+		s.end("other", Served)
 		s.say("%d keys known", len(s.turns))
 		s.pass(800 * Millisecond)
 		s.say("%d keys known", len(s.turns))
 		return s
 	},
-	"placement": func() *script { // bound lanes stay where they may go, however full that is
+	"placement": func() *script { // bound classes stay where they may go, however full that is
 		d := deployment()
-		d.Lanes[0].Zones, d.Lanes[1].Kinds = []int{1}, []int{5}
+		d.Classes[0].Zones, d.Classes[1].Kinds = []int{1}, []int{5}
 		s := start(d)
 		s.list(Whole, Listing{Engine: "z0"}, Listing{Engine: "z1", Zone: 1})
-		s.task("a", 0, 0, "")
+		s.arrives("a", 0, 0, "")
 		s.end("a", Full)
-		s.task("nowhere", 1, 0, "")
+		s.arrives("nowhere", 1, 0, "")
 		s.pass(5 * Second)
 		return s
 	},
-	"ration": func() *script { // one free further hand-off and a tenth of the tasks taken
+	"retry budget": func() *script { // one free retry and a tenth of the requests taken
 		d := deployment()
-		d.ExtraFree, d.ExtraShare, d.ExtraSpan = 1, 0.1, 5*Second
+		d.RetryBurst, d.RetryRatio, d.RetryWindow = 1, 0.1, 5*Second
 		s := start(d, "e1", "e2")
-		for _, id := range []TaskID{"a", "b"} {
-			s.task(id, 0, 0, "")
+		for _, id := range []RequestID{"a", "b"} {
+			s.arrives(id, 0, 0, "")
 			s.end(id, Full)
 		}
 		s.pass(6 * Second)
-		s.task("c", 0, 0, "")
+		s.arrives("c", 0, 0, "")
 		s.end("c", Full)
 		return s
 	},
-	"most hand-offs": func() *script {
+	"most attempts": func() *script {
 		s := start(deployment(), "e1", "e2")
-		s.task("a", 0, 0, "")
+		s.arrives("a", 0, 0, "")
 		for range 4 {
 			s.end("a", Full)
 		}
@@ -199,8 +199,8 @@
 		s := start(deployment(), "e1", "e2", "e3")
 		s.list(Changes, Listing{Engine: "e1", State: Draining}, Listing{Engine: "e2", State: Gone})
 		s.engines[2].bound = 0
-		s.task("a", 0, 0, "")
-		s.say("the guard lets a go to e1: %t", s.handOff(s.byID["a"], 0))
+		s.arrives("a", 0, 0, "")
+		s.say("the guard lets a go to e1: %t", s.send(s.byID["a"], 0))
 		s.list(Whole, Listing{Engine: "e1"})
 		s.list(NoAnswer)
 		s.pass(20 * Second)
@@ -215,7 +215,7 @@
 		s.pass(3 * Second)
 		return s
 	},
-	"too late": func() *script { // what comes just before its cut-off and finds no room is answered at once
+	"too late": func() *script { // what comes just before its deadline and finds no room is answered at once
 		s := start(deployment())
 		s.Arrived(0, "a", 5*Millisecond, 0, 0, "", 0, Foreseen{})
 		return s
@@ -227,12 +227,12 @@
 		s.pass(Second)
 		s.list(Remembered, Listing{Engine: "cold", Since: Second})
 		e := &s.engines[0]
-		s.lanes[0].work, s.lanes[0].tasks = float64(300*Millisecond), 20
+		s.classes[0].work, s.classes[0].requests = float64(300*Millisecond), 20
 		for range 13 {
 			s.now = s.at
 			for d.Me = range 3 {
-				if s.coldRoom(e, &task{lane: 0}) {
-					s.say("gateway %d has its turn; more work than its budget: %t", d.Me, s.coldRoom(e, &task{lane: 1}))
+				if s.coldRoom(e, &request{class: 0}) {
+					s.say("gateway %d has its turn; more work than its budget: %t", d.Me, s.coldRoom(e, &request{class: 1}))
 				}
 			}
 			s.at += 500 * Millisecond
@@ -242,46 +242,46 @@
 	},
 	"no engine": func() *script { // held while there is a chance, then answered at once
 		s := start(deployment())
-		s.task("a", 0, 0, "")
-		s.task("b", 2, 0, "")
+		s.arrives("a", 0, 0, "")
+		s.arrives("b", 2, 0, "")
 		s.pass(3 * Second)
 		return s
 	},
-	"cut-off": func() *script { // a time-out at the cut-off is answered at once; nothing after the client left
+	"deadline": func() *script { // a time-out at the deadline is answered at once; nothing after the client left
 		s := start(deployment(), "e1")
-		s.task("a", 2, 0, "")
-		s.task("b", 0, 0, "")
+		s.arrives("a", 2, 0, "")
+		s.arrives("b", 0, 0, "")
 		s.ClientGone(s.at, "b")
 		s.pass(10 * Second)
 		s.end("b", Errored)
 		s.end("a", TimedOut)
 		return s
 	},
-	"distrust": func() *script { // a silent engine gets nothing, then trust fades back; all silent condemns none
+	"failure score": func() *script { // a silent engine gets nothing, then trust fades back; all silent condemns none
 		s := start(deployment(), "e1", "e2")
 		s.pass(100 * Millisecond)
 		for range 3 {
 			s.probed("e1", TimedOut, NoReport)
 		}
-		for _, id := range []TaskID{"a", "b", "c"} {
-			s.task(id, 0, 0, "")
+		for _, id := range []RequestID{"a", "b", "c"} {
+			s.arrives(id, 0, 0, "")
 		}
 		for range 3 {
 			s.probed("e2", TimedOut, NoReport)
 		}
 		s.pass(4 * Second)
-		s.probed("e1", Delivered, Report{-1, 0.5, -1, -1})
+		s.probed("e1", Served, Report{-1, 0.5, -1, -1})
 		return s
 	},
 	"time-outs": func() *script { // incident: at zero they turn a router from a jammed engine, above it the bound does
 		s := start(deployment(), "e1")
 		e := &s.engines[0]
 		for i, bound := range []float64{8, 0} {
-			id := TaskID(fmt.Sprint("t", i))
-			s.task(id, 0, 0, "")
+			id := RequestID(fmt.Sprint("t", i))
+			s.arrives(id, 0, 0, "")
 			e.bound = bound
 			s.end(id, TimedOut)
-			s.say("bound %g: distrust %.1f", bound, s.score(e))
+			s.say("bound %g: failure score %.1f", bound, s.score(e))
 			e.bound = 8
 			s.ClientGone(s.at, id)
 			s.end(id, TimedOut)
@@ -290,37 +290,37 @@
 	},
 	"reports": func() *script { // the same report twice is one sight; two steps need two reports
 		s := start(deployment(), "e1")
-		s.task("a", 0, 0, "")
+		s.arrives("a", 0, 0, "")
 		for _, u := range []float64{0.99, 0.99, 0.98} {
 			s.pass(s.at + 200*Millisecond)
-			s.probed("e1", Delivered, Report{-1, u, -1, -1})
+			s.probed("e1", Served, Report{-1, u, -1, -1})
 		}
 		return s
 	},
-	"probes": func() *script { // paid for by tasks, one out at a time, no faster than reports are made
+	"probes": func() *script { // paid for by requests, one out at a time, no faster than reports are made
 		s := start(deployment(), "e1")
 		s.credit = mostCredit / 2
 		s.probes = true
 		s.pass(40 * Millisecond)
-		s.probed("e1", Delivered, Report{-1, 0.5, -1, -1})
+		s.probed("e1", Served, Report{-1, 0.5, -1, -1})
 		s.pass(3 * Second)
 		s.say("credit %.1f", s.credit)
-		s.task("a", 0, 0, "")
-		s.task("b", 0, 0, "")
-		s.probed("e1", Delivered, Report{-1, 0.6, -1, -1})
-		s.task("c", 0, 0, "")
+		s.arrives("a", 0, 0, "")
+		s.arrives("b", 0, 0, "")
+		s.probed("e1", Served, Report{-1, 0.6, -1, -1})
+		s.arrives("c", 0, 0, "")
 		return s
 	},
 	"bar": func() *script { // under overload what earns least for its work is given up when it comes
 		s := start(deployment(), "e1")
 		s.engines[0].bound = 1
 		s.rankLanes()
-		s.task("a", 1, 800*Millisecond, "")
-		s.task("held", 1, 800*Millisecond, "")
+		s.arrives("a", 1, 800*Millisecond, "")
+		s.arrives("held", 1, 800*Millisecond, "")
 		s.pass(1560 * Millisecond)
-		s.say("bar %.2f of the best lane's price", s.pools[0].bar)
-		s.task("short", 1, 800*Millisecond, "")
-		s.task("long", 1, 60*Second, "")
+		s.say("bar %.2f of the best class's price", s.pools[0].bar)
+		s.arrives("short", 1, 800*Millisecond, "")
+		s.arrives("long", 1, 60*Second, "")
 		return s
 	},
 	"idle": func() *script { // what earns a hundredth for its work passes where nobody waits
@@ -329,59 +329,59 @@
 		s.pass(s.at + Second)
 		s.rankLanes()
 		s.say("bar %.2f, price of the long one %.3f of the best", s.pools[0].bar, s.price(0, 10000*float64(Millisecond))/s.bestPrice)
-		s.task("long", 0, 10*Second, "")
+		s.arrives("long", 0, 10*Second, "")
 		return s
 	},
-	"estimates too high": func() *script { // incident: a lane told twice its work is not shed for it
+	"estimates too high": func() *script { // incident: a class told twice its work is not shed for it
 		s := start(deployment(), "e1")
 		s.answer(20, 200*Millisecond, 100*Millisecond)
-		s.say("price over that of the work told: %.2f", s.price(0, 1)/s.d.Lanes[0].Earnings)
+		s.say("price over that of the work told: %.2f", s.price(0, 1)/s.d.Classes[0].Value)
 		return s
 	},
-	"crowded": func() *script { // where answers tell work, idle cores under slow tasks are no room
+	"crowded": func() *script { // where answers tell work, idle cores under slow requests are no room
 		d := deployment()
 		d.TellsCost = true
 		s := start(d, "e1")
 		e := &s.engines[0]
-		s.probed("e1", Delivered, Report{-1, 0.4, -1, -1})
+		s.probed("e1", Served, Report{-1, 0.4, -1, -1})
 		s.say("busy share %.2f", s.told(e, e.report, e.util))
 		for i := range 20 {
-			id := TaskID(fmt.Sprint("t", i))
+			id := RequestID(fmt.Sprint("t", i))
 			s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, Foreseen{})
 			s.at += 300 * Millisecond
-			s.Ended(s.at, id, Delivered, true, 100*Millisecond, 0, NoReport)
+			s.Ended(s.at, id, Served, true, 100*Millisecond, 0, NoReport)
 		}
 		s.out.Reset()
-		s.say("busy share %.2f when tasks take three times their work", s.told(e, e.report, e.util))
+		s.say("busy share %.2f when requests take three times their work", s.told(e, e.report, e.util))
 		return s
 	},
 	"hopeless": func() *script { // called off when by its progress it would end in a time-out
 		d := deployment()
 		d.Cancels = true
 		s := start(d, "e1", "e2")
-		s.task("a", 1, 0, "")
+		s.arrives("a", 1, 0, "")
 		s.pass(Second)
 		s.Noted(s.at, "a", 0, Progress, 0.2)
 		s.Noted(s.at, "a", 0, Progress, 0.1)
 		s.end("a", Cancelled)
-		s.task("unrepeatable", 2, 0, "")
+		s.arrives("unrepeatable", 2, 0, "")
 		s.pass(2 * Second)
 		s.Noted(s.at, "unrepeatable", 0, Progress, 0.01)
 		return s
 	},
-	"errors": func() *script { // bad clients' tasks fail everywhere, and make no engine distrusted
+	"errors": func() *script { // bad clients' requests fail everywhere, and make no engine distrusted
 		s := start(deployment(), "e1")
 		e := &s.engines[0]
 		for _, how := range []Outcome{Errored, Lost} {
-			s.task("a", 0, 0, "")
+			s.arrives("a", 0, 0, "")
 			s.end("a", how)
-			s.say("distrust %.1f", s.score(e))
+			s.say("failure score %.1f", s.score(e))
 			s.end("a", Errored)
-			s.say("distrust %.1f", s.score(e))
+			s.say("failure score %.1f", s.score(e))
 		}
 		return s
 	},
-	"many gateways": func() *script { // a part far below a query: engines open by chance, seldom after long tasks
+	"many gateways": func() *script { // a part far below a query: engines open by chance, seldom after long requests
 		d := deployment()
 		d.Gateways, d.Probes = 300, false
 		var names []EngineID
@@ -393,7 +393,7 @@
 		show := func(why string) {
 			n := 0
 			for i := range s.engines {
-				if s.open(&s.engines[i], &task{lane: 1}, 1) {
+				if s.open(&s.engines[i], &request{class: 1}, 1) {
 					n++
 				}
 			}
@@ -408,7 +408,7 @@
 		s.busy = 0.9
 		show("the same, 0.9 busy")
 		s.busy, s.usual = 0.5, float64(6*Second)
-		show("half busy, after tasks of ten times the work")
+		show("half busy, after requests of ten times the work")
 		return s
 	},
 	"worth first": func() *script { // at zero too the dearest goes first, whatever its work
@@ -419,18 +419,18 @@
 		for i := range s.engines {
 			s.engines[i].luck = math.Inf(1)
 		}
-		s.task("short", 0, 0, "")
-		s.task("dear", 1, 0, "")
+		s.arrives("short", 0, 0, "")
+		s.arrives("dear", 1, 0, "")
 		s.usual = 1
 		s.pass(20 * Millisecond)
 		return s
 	},
-	"silence": func() *script { // notes every 500 ms; one that stops is called off, and the task goes elsewhere
+	"silence": func() *script { // notes every 500 ms; one that stops is called off, and the request goes elsewhere
 		d := deployment()
 		d.Pace, d.Cancels = 500*Millisecond, true
 		s := start(d, "e1", "e2")
 		s.engines[0].bound, s.engines[1].bound = 3, 3
-		s.task("a", 1, 0, "")
+		s.arrives("a", 1, 0, "")
 		for _, at := range []Time{500, 1000} {
 			s.pass(at * Millisecond)
 			s.say("note on a: it spills")
@@ -440,21 +440,21 @@
 		s.say("nothing since the last note")
 		s.pass(1760 * Millisecond)
 		s.end("a", Cancelled)
-		s.say("where nothing may be called off, a silent hand-off runs to its patience")
+		s.say("where nothing may be called off, a silent attempt runs to its timeout")
 		d.Cancels = false
 		s.pass(3700 * Millisecond)
 		return s
 	},
-	"step by time held": func() *script { // a query is the threads of hand-offs by their time at the engine
+	"step by time held": func() *script { // a query is the threads of attempts by their time at the engine
 		s := start(deployment(), "e1")
 		s.engines[0].bound = 8
-		s.say("step %.2f: the mean of the lanes", s.query())
-		s.task("long", 1, 0, "")
-		s.task("short", 0, 0, "")
+		s.say("step %.2f: the mean of the classes", s.query())
+		s.arrives("long", 1, 0, "")
+		s.arrives("short", 0, 0, "")
 		s.pass(100 * Millisecond)
-		s.end("short", Delivered)
+		s.end("short", Served)
 		s.pass(2 * Second)
-		s.end("long", Delivered)
+		s.end("long", Served)
 		s.say("step %.2f: nearer to the three threads held most of the time", s.query())
 		return s
 	},
@@ -462,34 +462,34 @@
 		d := deployment()
 		d.Gateways = 300
 		s := start(d, "e1")
-		s.Ended(0, "none", Delivered, true, 0, 0, NoReport)
+		s.Ended(0, "none", Served, true, 0, 0, NoReport)
 		s.engines[0].report, s.engines[0].reportAt = Report{Held: 2, Util: -1, Memory: -1, Disks: -1}, 0
 		s.engines[0].luck = 1 // a draw that the chance of a pace would turn down
 		s.say("e1 holds 2 queries on 4 cores, bound %.3g", s.engines[0].bound)
-		s.task("a", 0, 0, "")
-		s.end("a", Delivered)
+		s.arrives("a", 0, 0, "")
+		s.end("a", Served)
 		s.engines[0].report, s.engines[0].reportAt = Report{Held: 9, Util: -1, Memory: -1, Disks: -1}, s.at
 		s.engines[0].luck = 1
 		s.say("e1 holds 9 queries: full")
-		s.task("b", 0, 0, "")
+		s.arrives("b", 0, 0, "")
 		return s
 	},
 	"memory for utilisation": func() *script { // without utilisation, the scarcer of memory and disks steps the bound
 		s := start(deployment(), "e1")
 		e := &s.engines[0]
 		e.bound, e.running = 3, 3
-		s.probed("e1", Delivered, Report{Held: -1, Util: -1, Memory: 0.97, Disks: 0.4})
+		s.probed("e1", Served, Report{Held: -1, Util: -1, Memory: 0.97, Disks: 0.4})
 		s.pass(2 * Second)
-		s.probed("e1", Delivered, Report{Held: -1, Util: -1, Memory: 0.2, Disks: 0.3})
+		s.probed("e1", Served, Report{Held: -1, Util: -1, Memory: 0.2, Disks: 0.3})
 		return s
 	},
-	"ranks": func() *script { // by earnings for work
+	"ranks": func() *script { // by value for work
 		d := deployment()
 		d.Ranked = true
 		s := start(d, "e1")
 		s.rankLanes()
-		for lane, id := range []TaskID{"l0", "l1", "l2"} {
-			s.task(id, lane, 0, "")
+		for class, id := range []RequestID{"l0", "l1", "l2"} {
+			s.arrives(id, class, 0, "")
 		}
 		return s
 	},
@@ -535,36 +535,36 @@
 	}
 }
 
-// A long day: engines with new ids all day, some gone while a task is out there. What is kept stays small.
+// A long day: engines with new ids all day, some gone while a request is out there. What is kept stays small.
 func TestLongDay(t *testing.T) {
 	s := start(deployment())
 	for n := range 5000 {
-		name, id := EngineID(fmt.Sprint("e", n)), TaskID(fmt.Sprint("t", n))
+		name, id := EngineID(fmt.Sprint("e", n)), RequestID(fmt.Sprint("t", n))
 		s.Listed(s.at, Changes, []Listing{{Engine: name}})
 		s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, Foreseen{})
-		s.Probed(s.at, name, Delivered, Report{-1, 0.1, -1, -1})
+		s.Probed(s.at, name, Served, Report{-1, 0.1, -1, -1})
 		s.Listed(s.at, Changes, []Listing{{Engine: name, State: Gone}})
 		s.Ended(s.at, id, Outcome(n%9), n%9 == 0, 0, 0, NoReport)
 		s.pass(s.at + 2*Second)
 	}
-	if len(s.engines) > 4 || len(s.named) > 4 || len(s.tasks) > 4 || len(s.byID) > 0 || s.held > 0 {
-		t.Errorf("%d engines, %d names, %d places, %d tasks, %d held", len(s.engines), len(s.named), len(s.tasks),
+	if len(s.engines) > 4 || len(s.named) > 4 || len(s.requests) > 4 || len(s.byID) > 0 || s.held > 0 {
+		t.Errorf("%d engines, %d names, %d places, %d requests, %d held", len(s.engines), len(s.named), len(s.requests),
 			len(s.byID), s.held)
 	}
 }
 
-// A router made from what one before it knew: lanes, bounds, reports and distrust with their age; the ration and this turn at
+// A router made from what one before it knew: classes, bounds, reports and failure score with their age; the retry budget and this turn at
 // a cold engine as used up; an engine that was started since is new.
-func ExampleRouter_Recall() {
+func ExampleRouter_Restore() {
 	d := deployment()
-	d.ExtraFree, d.ExtraShare, d.ExtraSpan = 2, 0.1, 10*Second
+	d.RetryBurst, d.RetryRatio, d.RetryWindow = 2, 0.1, 10*Second
 	d.Settle = 2 * Second
 	s := start(d, "e1", "e2")
 	s.answer(30, 0, 120*Millisecond)
 	s.Listed(s.at, Changes, []Listing{{Engine: "e3", Since: s.at}})
-	s.probed("e1", Delivered, Report{-1, 0.2, -1, -1})
+	s.probed("e1", Served, Report{-1, 0.2, -1, -1})
 	s.probed("e2", Reset, NoReport)
-	s.task("k", 3, 0, "key")
+	s.arrives("k", 3, 0, "key")
 	s.end("k", TimedOut)
 	b := s.Memory(s.at).Encode()
 	m, err := DecodeMemory(b)
@@ -572,34 +572,34 @@
 	for _, later := range []Time{500 * Millisecond, 30 * Second} {
 		n := &script{d: d, at: s.at + later}
 		n.Router = New(n.at, 8, d, n)
-		n.Recall(n.at, m)
+		n.Restore(n.at, m)
 		n.Listed(n.at, Whole, []Listing{{Engine: "e1", Since: s.at + 1}, {Engine: "e2"}, {Engine: "e3", Since: m.Engines[2].Since}})
-		fmt.Printf("%v later: run %.0f ms by %.0f answers, further hand-offs allowed %t, key rests %t\n", ms(later), n.lanes[0].run/10,
-			n.lanes[0].answers, n.rationed(), n.turns["key"].rest > n.at)
+		fmt.Printf("%v later: run %.0f ms by %.0f answers, retries allowed %t, key rests %t\n", ms(later), n.classes[0].run/10,
+			n.classes[0].answers, n.withinRetryBudget(), n.turns["key"].rest > n.at)
 		for i := range n.engines {
 			e := &n.engines[i]
-			fmt.Printf("  %s bound %.1f, distrust %.1f, busy %.2f, room while cold %t\n", e.Engine, e.bound, n.score(e), n.load(e), !n.isCold(e) || n.coldRoom(e, &task{}))
+			fmt.Printf("  %s bound %.1f, failure score %.1f, busy %.2f, room while cold %t\n", e.Engine, e.bound, n.score(e), n.load(e), !n.isCold(e) || n.coldRoom(e, &request{}))
 		}
 	}
 	if _, err := DecodeMemory([]byte(`{"Version":9}`)); err != nil {
 		fmt.Println(err)
 	}
 	// Output:
-	//   3600 ms  probe of e1: bound 8, distrust 0.0
-	//   3600 ms  probe of e2: bound 8, distrust 1.5
-	//   3600 ms  k arrives in lane 3
-	//   3600 ms    -> hand k to e1, patience 10000 ms
+	//   3600 ms  probe of e1: bound 8, failure score 0.0
+	//   3600 ms  probe of e2: bound 8, failure score 1.5
+	//   3600 ms  k arrives in class 3
+	//   3600 ms    -> send k to e1, timeout 10000 ms
 	//   3600 ms  k ends: timed out
-	//   3600 ms    -> hand k to e2, patience 10000 ms, before 6600 ms
+	//   3600 ms    -> send k to e2, timeout 10000 ms, before 6600 ms
 	// <nil>
-	// 500 ms later: run 120 ms by 30 answers, further hand-offs allowed false, key rests true
-	//   e1 bound 8.0, distrust 0.0, busy 0.44, room while cold true
-	//   e2 bound 8.0, distrust 1.2, busy 0.44, room while cold true
-	//   e3 bound 8.0, distrust 0.0, busy 0.44, room while cold false
-	// 30000 ms later: run 120 ms by 21 answers, further hand-offs allowed true, key rests false
-	//   e1 bound 8.0, distrust 0.0, busy 0.44, room while cold true
-	//   e2 bound 8.0, distrust 0.0, busy 0.44, room while cold true
-	//   e3 bound 8.0, distrust 0.0, busy 0.44, room while cold true
+	// 500 ms later: run 120 ms by 30 answers, retries allowed false, key rests true
+	//   e1 bound 8.0, failure score 0.0, busy 0.44, room while cold true
+	//   e2 bound 8.0, failure score 1.2, busy 0.44, room while cold true
+	//   e3 bound 8.0, failure score 0.0, busy 0.44, room while cold false
+	// 30000 ms later: run 120 ms by 21 answers, retries allowed true, key rests false
+	//   e1 bound 8.0, failure score 0.0, busy 0.44, room while cold true
+	//   e2 bound 8.0, failure score 0.0, busy 0.44, room while cold true
+	//   e3 bound 8.0, failure score 0.0, busy 0.44, room while cold true
 	// version 9 of the form, this program knows 1
 }
 
@@ -614,26 +614,26 @@
 		r.Arrived(now, "a", now+Second, 0, 0, "", 3, Foreseen{Work: 50 * Millisecond})
 		r.Arrived(now, "b", now+Second, 3, 0, "key", 3, Foreseen{})
 		r.Due(now)
-		r.Probed(now, "e1", Delivered, Report{-1, float64(now%100) / 100, -1, -1})
-		r.Ended(now, "a", Delivered, true, 0, 0, NoReport)
-		r.Ended(now, "b", Delivered, true, 0, 0, NoReport)
+		r.Probed(now, "e1", Served, Report{-1, float64(now%100) / 100, -1, -1})
+		r.Ended(now, "a", Served, true, 0, 0, NoReport)
+		r.Ended(now, "b", Served, true, 0, 0, NoReport)
 	}
 	round()
 	if n := testing.AllocsPerRun(1000, round); n != 0 {
 		t.Errorf("%v allocations a round", n)
 	}
 	if len(r.byID) != 0 || len(r.turns) != 0 {
-		t.Errorf("%d tasks and %d keys left", len(r.byID), len(r.turns))
+		t.Errorf("%d requests and %d keys left", len(r.byID), len(r.turns))
 	}
 }
 
 type quiet struct{}
 
-func (quiet) HandOff(TaskID, EngineID, Time, Time)           {}
-func (quiet) Cancel(TaskID, int)                             {}
-func (quiet) Nack(TaskID, Time)                              {}
-func (quiet) WriteOff(TaskID)                                {}
-func (quiet) Terms(TaskID, float64, int)                     {}
+func (quiet) Send(RequestID, EngineID, Time, Time)           {}
+func (quiet) Cancel(RequestID, int)                          {}
+func (quiet) Reject(RequestID, Time)                         {}
+func (quiet) Fail(RequestID)                                 {}
+func (quiet) Terms(RequestID, float64, int)                  {}
 func (quiet) Probe(EngineID)                                 {}
 func (quiet) Subscribe()                                     {}
 func (quiet) ColdRoom(EngineID, float64) (room, shared bool) { return false, false }
@@ -643,12 +643,12 @@
 
 func ExampleRouter() {
 	s := start(deployment(), "e1")
-	s.task("t1", 0, 0, "")
+	s.arrives("t1", 0, 0, "")
 	s.pass(80 * Millisecond)
-	s.end("t1", Delivered)
+	s.end("t1", Served)
 	fmt.Print(s.out.String())
 	// Output:
-	//      0 ms  t1 arrives in lane 0
-	//      0 ms    -> hand t1 to e1, patience 10000 ms
-	//     80 ms  t1 ends: delivered
+	//      0 ms  t1 arrives in class 0
+	//      0 ms    -> send t1 to e1, timeout 10000 ms
+	//     80 ms  t1 ends: served
 }
--- a/internal/admission/host.go
+++ b/internal/admission/host.go
@@ -3,17 +3,17 @@
 // Host is what the decisions act on. It is handed over once, at start; every call takes effect at the
 // time of the event that is being handled.
 type Host interface {
-	// HandOff sends a task to an engine; it ends unanswered after patience, and at the cut-off at the latest. From sendBy on
+	// Send sends a request to an engine; it ends unanswered after timeout, and at the deadline at the latest. From sendBy on
 	// (0: no limit) it must not be sent any more: it ends as moot then.
-	HandOff(task TaskID, engine EngineID, patience, sendBy Time)
-	// Cancel calls off the n-th hand-off of a task.
-	Cancel(task TaskID, n int)
-	// Nack is a final answer: trying again is harmless, best after comeBack (0: no advice).
-	Nack(task TaskID, comeBack Time)
-	// WriteOff is a final answer that promises nothing.
-	WriteOff(task TaskID)
-	// Terms names memory (MB, 0: the engine chooses) and rank (0 to 3) of a task's hand-offs.
-	Terms(task TaskID, memory float64, rank int)
+	Send(request RequestID, engine EngineID, timeout, sendBy Time)
+	// Cancel calls off the n-th attempt of a request.
+	Cancel(request RequestID, n int)
+	// Reject is a final answer: trying again is harmless, best after retryAfter (0: no advice).
+	Reject(request RequestID, retryAfter Time)
+	// Fail is a final answer that promises nothing.
+	Fail(request RequestID)
+	// Terms names memory (MB, 0: the engine chooses) and rank (0 to 3) of a request's attempts.
+	Terms(request RequestID, memory float64, rank int)
 	// Probe asks an engine for its report.
 	Probe(engine EngineID)
 	// Subscribe asks for the changes of the engine list from now on.
@@ -29,9 +29,9 @@
 	Say(text string)
 }
 
-// Gate is what an operator's classes allow; it is asked only about tasks that have a class.
+// Gate is what an operator's classes allow; it is asked only about requests that have a class.
 type Gate interface {
-	// Open tells whether one more task of a class, of so many threads, may go out now.
+	// Open tells whether one more request of a class, of so many threads, may go out now.
 	Open(now Time, class int, threads float64) bool
 	// Pool is the number of the class's pool; 0: all engines.
 	Pool(class int) int
--- a/internal/admission/memory.go
+++ b/internal/admission/memory.go
@@ -6,8 +6,8 @@
 	"slices"
 )
 
-// Memory is what a router knows that is worth keeping when its process dies. Times are those of its clock.
-type Memory struct {
+// Snapshot is what a router knows that is worth keeping when its process dies. Times are those of its clock.
+type Snapshot struct {
 	Version int
 	At      Time
 	Lanes   []LaneMemory
@@ -21,7 +21,7 @@
 	Rests   []RestMemory // by key
 }
 
-// LaneMemory is what was learned of a lane.
+// LaneMemory is what was learned of a class.
 type LaneMemory struct{ Run, Work, Memory, Answers, Tasks, Ease float64 }
 
 // EngineMemory is what was seen of an engine; by its last start one that began anew is told.
@@ -36,7 +36,7 @@
 	DistrustAt Time
 }
 
-// SpanMemory is a part of the ration's window.
+// SpanMemory is a part of the retry budget's window.
 type SpanMemory struct {
 	Index        Time
 	Taken, Extra float64
@@ -52,18 +52,18 @@
 const memoryVersion = 1
 
 // Memory is what the router knows now.
-func (r *Router) Memory(now Time) *Memory {
-	m := &Memory{Version: memoryVersion, At: now, Ran: r.ran, Asked: r.asked, Usual: r.usual, Busy: r.busy, Bar: r.pools[0].bar}
-	for _, l := range r.lanes {
-		m.Lanes = append(m.Lanes, LaneMemory{l.run, l.work, l.memory, l.answers, l.tasks, l.ease})
+func (r *Router) Memory(now Time) *Snapshot {
+	m := &Snapshot{Version: memoryVersion, At: now, Ran: r.ran, Asked: r.asked, Usual: r.usual, Busy: r.busy, Bar: r.pools[0].bar}
+	for _, l := range r.classes {
+		m.Lanes = append(m.Lanes, LaneMemory{l.run, l.work, l.memory, l.answers, l.requests, l.ease})
 	}
 	for i := range r.engines {
 		if e := &r.engines[i]; e.State != Gone {
-			m.Engines = append(m.Engines, EngineMemory{e.Engine, e.Since, e.bound, e.util, e.report, e.reportAt, e.distrust, e.distrustAt})
+			m.Engines = append(m.Engines, EngineMemory{e.Engine, e.Since, e.bound, e.util, e.report, e.reportAt, e.failures, e.failuresAt})
 		}
 	}
 	slices.SortFunc(m.Engines, func(a, b EngineMemory) int { return compare(a.Engine, b.Engine) })
-	for _, s := range r.takes {
+	for _, s := range r.retries {
 		if s.taken > 0 || s.extra > 0 {
 			m.Takes = append(m.Takes, SpanMemory{s.index, s.taken, s.extra})
 		}
@@ -88,7 +88,7 @@
 }
 
 // Encode writes a memory.
-func (m *Memory) Encode() []byte {
+func (m *Snapshot) Encode() []byte {
 	b, err := json.Marshal(m)
 	if err != nil { // figures that are no numbers
 		return nil
@@ -97,8 +97,8 @@
 }
 
 // DecodeMemory reads one; another version's is refused.
-func DecodeMemory(b []byte) (*Memory, error) {
-	m := &Memory{}
+func DecodeMemory(b []byte) (*Snapshot, error) {
+	m := &Snapshot{}
 	if err := json.Unmarshal(b, m); err != nil {
 		return nil, err
 	}
--- a/internal/admission/ramp_test.go
+++ b/internal/admission/ramp_test.go
@@ -81,11 +81,11 @@
 
 func (h *rampRouter) at() Time { return h.of.now + h.skew }
 
-// HandOff has the attempt arrive once its connection is up, and end once its work is done.
-func (h *rampRouter) HandOff(id TaskID, e EngineID, _, _ Time) {
+// Send has the attempt arrive once its connection is up, and end once its work is done.
+func (h *rampRouter) Send(id RequestID, e EngineID, _, _ Time) {
 	r := h.of
 	class := int(id[0] - '0')
-	threads := float64(r.d.Lanes[class].Threads)
+	threads := float64(r.d.Classes[class].Threads)
 	work := r.means[class] * math.Exp(r.rng.NormFloat64()-0.5) // lognormal
 	if r.rng.Float64() < r.heavy {
 		work *= 20
@@ -98,7 +98,7 @@
 			return
 		}
 	}
-	r.after(way+Time(work/threads), func() { h.router.Ended(h.at(), id, Delivered, true, Time(work), 1, NoReport) })
+	r.after(way+Time(work/threads), func() { h.router.Ended(h.at(), id, Served, true, Time(work), 1, NoReport) })
 }
 
 // arrive brings the router requests without an end.
@@ -106,7 +106,7 @@
 	r := h.of
 	class := []int{0, 0, 0, 0, 1}[r.rng.Intn(5)]
 	h.next++
-	id := TaskID(fmt.Sprintf("%d-%d", class, h.next))
+	id := RequestID(fmt.Sprintf("%d-%d", class, h.next))
 	h.router.Arrived(h.at(), id, h.at()+20*Second, class, 0, "", r.rng.Intn(20), Foreseen{})
 	r.after(Second/8+r.upTo(Second/4), h.arrive)
 }
@@ -165,9 +165,9 @@
 // clocks, their connections and the time in which they are told differ.
 func TestRampHoldsForTheFleet(t *testing.T) {
 	base := Deployment{Cores: []float64{8}, ColdShare: 0.34, WarmAfter: 14 * Second, TipFactor: 3, TipAfter: 1500 * Millisecond,
-		TellsCost: true, MaxTries: 4, Lanes: []Lane{
-			{Threads: 1, Quoted: Second, Stretch: 1.5, Earnings: 1},
-			{Threads: 4, Quoted: 3 * Second, Stretch: 2.5, Earnings: 10, LateShare: 0.4},
+		TellsCost: true, MaxAttempts: 4, Classes: []Class{
+			{Threads: 1, LatencyTarget: Second, Stretch: 1.5, Value: 1},
+			{Threads: 4, LatencyTarget: 3 * Second, Stretch: 2.5, Value: 10, LateShare: 0.4},
 		}}
 	tight := base
 	tight.TipFactor, tight.TipAfter = 2, Second
--- a/internal/admission/script_test.go
+++ b/internal/admission/script_test.go
@@ -22,19 +22,19 @@
 	return strings.TrimSuffix(fmt.Sprintf("%.1f", float64(t)/float64(Millisecond)), ".0") + " ms"
 }
 
-func (s *script) HandOff(t TaskID, e EngineID, patience, sendBy Time) {
+func (s *script) Send(t RequestID, e EngineID, timeout, sendBy Time) {
 	by := ""
 	if sendBy > 0 {
 		by = ", before " + ms(sendBy)
 	}
-	s.say("  -> hand %s to %s, patience %s%s", t, e, ms(patience), by)
+	s.say("  -> send %s to %s, timeout %s%s", t, e, ms(timeout), by)
 }
-func (s *script) Cancel(t TaskID, n int) { s.say("  -> cancel %s, hand-off %d", t, n) }
-func (s *script) Nack(t TaskID, comeBack Time) {
-	s.say("  -> nack %s, come back in %s", t, ms(comeBack))
+func (s *script) Cancel(t RequestID, n int) { s.say("  -> cancel %s, attempt %d", t, n) }
+func (s *script) Reject(t RequestID, retryAfter Time) {
+	s.say("  -> reject %s, retry after %s", t, ms(retryAfter))
 }
-func (s *script) WriteOff(t TaskID) { s.say("  -> write off %s", t) }
-func (s *script) Terms(t TaskID, m float64, k int) {
+func (s *script) Fail(t RequestID) { s.say("  -> fail %s", t) }
+func (s *script) Terms(t RequestID, m float64, k int) {
 	s.say("  -> terms of %s: %.0f MB, rank %d", t, m, k)
 }
 func (s *script) Subscribe()                                     { s.say("  -> subscribe to the list") }
@@ -53,15 +53,15 @@
 // everyPeers has all scripts run where routers may speak to each other.
 var everyPeers bool
 
-// lanes of the scripts: 0 is short and cheap, 1 long and dear, 2 must not run twice, 3 is deduplicated in order.
+// classes of the scripts: 0 is short and cheap, 1 long and dear, 2 must not run twice, 3 is deduplicated in order.
 func deployment() *Deployment {
-	return &Deployment{Gateways: 1, Cores: []float64{4}, MaxTries: 4, ComeBack: 500 * Millisecond,
+	return &Deployment{Gateways: 1, Cores: []float64{4}, MaxAttempts: 4, RetryAfter: 500 * Millisecond,
 		ColdShare: 0.25, WarmAfter: 10 * Second, TipFactor: 2, TipAfter: Second, Probes: true, ProbePrice: 0.01,
-		Lanes: []Lane{
-			{Threads: 1, Quoted: 400 * Millisecond, Stretch: 1, Earnings: 1},
-			{Threads: 3, Quoted: 2 * Second, Stretch: 2, Earnings: 20, LateShare: 0.5},
-			{Threads: 2, Quoted: 2 * Second, Earnings: 5, Effect: Unrepeatable},
-			{Threads: 1, Quoted: 2 * Second, Earnings: 5, Effect: Deduplicated, Remember: 3 * Second, InOrder: true},
+		Classes: []Class{
+			{Threads: 1, LatencyTarget: 400 * Millisecond, Stretch: 1, Value: 1},
+			{Threads: 3, LatencyTarget: 2 * Second, Stretch: 2, Value: 20, LateShare: 0.5},
+			{Threads: 2, LatencyTarget: 2 * Second, Value: 5, Effect: Unrepeatable},
+			{Threads: 1, LatencyTarget: 2 * Second, Value: 5, Effect: Deduplicated, DedupWindow: 3 * Second, InOrder: true},
 		}}
 }
 
@@ -86,25 +86,25 @@
 	s.at = t
 }
 
-// task brings a task of the given lane with 10 s to its cut-off.
-func (s *script) task(id TaskID, lane int, work Time, key string) {
-	s.say("%s arrives in lane %d", id, lane)
-	s.Arrived(s.at, id, s.at+10*Second, lane, 0, key, 0, Foreseen{Work: work})
+// request brings a request of the given class with 10 s to its deadline.
+func (s *script) arrives(id RequestID, class int, work Time, key string) {
+	s.say("%s arrives in class %d", id, class)
+	s.Arrived(s.at, id, s.at+10*Second, class, 0, key, 0, Foreseen{Work: work})
 }
 
-func (s *script) end(id TaskID, how Outcome) {
-	s.say("%s ends: %s", id, [...]string{"delivered", "error", "full", "timed out", "unreachable", "reset",
+func (s *script) end(id RequestID, how Outcome) {
+	s.say("%s ends: %s", id, [...]string{"served", "error", "full", "timed out", "unreachable", "reset",
 		"cancelled", "moot", "lost"}[how])
-	s.Ended(s.at, id, how, how == Delivered, 0, 0, NoReport)
+	s.Ended(s.at, id, how, how == Served, 0, 0, NoReport)
 }
 
-// answer lets n tasks of lane 0, told at one length, be delivered after another; the trace starts behind them.
+// answer lets n requests of class 0, told at one length, be delivered after another; the trace starts behind them.
 func (s *script) answer(n int, told, took Time) {
 	for i := range n {
-		id := TaskID(fmt.Sprint("t", i))
+		id := RequestID(fmt.Sprint("t", i))
 		s.Arrived(s.at, id, s.at+10*Second, 0, 0, "", 0, Foreseen{Work: told})
 		s.at += took
-		s.Ended(s.at, id, Delivered, true, 0, 0, NoReport)
+		s.Ended(s.at, id, Served, true, 0, 0, NoReport)
 	}
 	s.out.Reset()
 }
@@ -112,7 +112,7 @@
 func (s *script) probed(e EngineID, how Outcome, report Report) {
 	s.Probed(s.at, e, how, report)
 	i := &s.engines[s.named[e]]
-	s.say("probe of %s: bound %.3g, distrust %.1f", e, i.bound, s.score(i))
+	s.say("probe of %s: bound %.3g, failure score %.1f", e, i.bound, s.score(i))
 }
 
 func (s *script) list(form Form, list ...Listing) {
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -6,47 +6,47 @@
 	"slices"
 )
 
-// task is a task in hand: held, or handed off and without an outcome.
-type task struct {
-	id                      TaskID
-	key                     string
-	lane, tenant, tables    int
-	arrived, cutoff, quoted Time
+// request is a request in hand: held, or sent and without an outcome.
+type request struct {
+	id                        RequestID
+	key                       string
+	class, tenant, tables     int
+	arrived, deadline, target Time
 	Foreseen
 	seq                    uint64
 	memory                 float64
 	tries, errors          int
 	out, gone, mayRan      bool
 	queued                 bool
-	engine                 int32 // of the last hand-off
+	engine                 int32 // of the last attempt
 	sentAt, until, doubtAt Time
-	heardAt                Time // of the hand-off out: when it was sent or last had news
+	heardAt                Time // of the attempt out: when it was sent or last had news
 	doubtZone, doubtGroup  int
 	rank                   int
 }
 
 // pool is a part of the fleet that an operator keeps for some classes; the first is all of it.
 type pool struct {
-	bar      float64 // least price of a task taken on, as a part of the best lane's
-	starving bool    // a held task has used up much of its time, since the bar last moved
-	wanted   Time    // when a held task was last given up for want of room
+	bar      float64 // least price of a request taken on, as a part of the best class's
+	starving bool    // a held request has used up much of its time, since the bar last moved
+	wanted   Time    // when a held request was last given up for want of room
 }
 
-// turn is the line of tasks that share a key: the first may be handed off once the key has rested.
+// turn is the line of requests that share a key: the first may be sent once the key has rested.
 type turn struct {
 	line []int32
 	rest Time
 }
 
-// learned is what answers have told of a lane.
+// learned is what answers have told of a class.
 type learned struct {
-	run     float64 // time from hand-off to answer
-	work    float64 // time on one thread
-	memory  float64
-	answers float64 // that the figures rest on, capped
-	tasks   float64 // that the work rests on, capped
-	ease    float64 // times its work that a task takes where nothing is crowded
-	rank    int
+	run      float64 // time from attempt to answer
+	work     float64 // time on one thread
+	memory   float64
+	answers  float64 // that the figures rest on, capped
+	requests float64 // that the work rests on, capped
+	ease     float64 // times its work that a request takes where nothing is crowded
+	rank     int
 }
 
 type engine struct {
@@ -55,8 +55,8 @@
 	cores      float64
 	size       float64 // MB of memory
 	bound      float64 // threads
-	memory     float64 // MB that our hand-offs there usually need
-	running    float64 // threads of our hand-offs without an outcome
+	memory     float64 // MB that our attempts there usually need
+	running    float64 // threads of our attempts without an outcome
 	report     Report
 	util       float64 // reported, smoothed
 	reportAt   Time    // when it last changed
@@ -66,27 +66,27 @@
 	probedAt   Time
 	probing    bool
 	luck       float64 // drawn each tick, for the one query that a bound of zero allows
-	distrust   float64
-	distrustAt Time
+	failures   float64
+	failuresAt Time
 	heard      Report  // the latest of a peer's,
 	heardAt    Time    // and when that one had it
 	against    float64 // what peers' evidence says against it,
 	until      Time    // and until when that counts
-	saidAt     Time    // when its distrust was last logged
+	saidAt     Time    // when its failure score was last logged
 	hash       uint32  // of its id
 	coldAt     Time    // this router's latest turn at a cold engine
 	cold       float64 // and the work sent in it
 }
 
-// own is what is left of the distrust that this router's own tries left.
-func (e *engine) own(now Time) float64 {
-	if e.distrust == 0 {
+// ownScore is what is left of the failure score that this router's own tries left.
+func (e *engine) ownScore(now Time) float64 {
+	if e.failures == 0 {
 		return 0
 	}
-	return e.distrust * math.Exp2(-float64(now-e.distrustAt)/float64(halfLife))
+	return e.failures * math.Exp2(-float64(now-e.failuresAt)/float64(halfLife))
 }
 
-// span counts what happened in one part of the ration's window.
+// span counts what happened in one part of the retry budget's window.
 type span struct {
 	index        Time
 	taken, extra float64
@@ -94,12 +94,12 @@
 
 const none = int32(-1) // no engine
 
-// poolOf is the number of a task's pool, with room for what is kept of it.
-func (r *Router) poolOf(t *task) int {
-	if t.Class == 0 {
+// poolOf is the number of a request's pool, with room for what is kept of it.
+func (r *Router) poolOf(t *request) int {
+	if t.PolicyClass == 0 {
 		return 0
 	}
-	n := r.gate.Pool(t.Class)
+	n := r.gate.Pool(t.PolicyClass)
 	for len(r.pools) <= n {
 		r.pools = append(r.pools, pool{wanted: r.now - Second})
 	}
@@ -109,7 +109,7 @@
 // in tells whether an engine belongs to a pool.
 func (r *Router) in(pool int, e *engine) bool { return pool == 0 || r.gate.In(pool, &e.Listing) }
 
-// Guard hands over what an operator's classes allow, before the first task that has one.
+// Guard hands over what an operator's classes allow, before the first request that has one.
 func (r *Router) Guard(g Gate) { r.gate = g }
 
 // Opened takes in that a class may use more than before, as the gate knows.
@@ -118,37 +118,37 @@
 	r.release()
 }
 
-// seat gives a task a place in the slab.
-func (r *Router) seat(t task) int32 {
-	i := int32(len(r.tasks))
+// seat gives a request a place in the slab.
+func (r *Router) seat(t request) int32 {
+	i := int32(len(r.requests))
 	if n := len(r.free); n > 0 {
 		i, r.free = r.free[n-1], r.free[:n-1]
 	} else {
-		r.tasks = append(r.tasks, task{})
+		r.requests = append(r.requests, request{})
 	}
-	r.tasks[i] = t
+	r.requests[i] = t
 	r.byID[t.id] = i
 	return i
 }
 
-// Knows tells whether a task of that id is in hand.
-func (r *Router) Knows(id TaskID) bool {
+// Knows tells whether a request of that id is in hand.
+func (r *Router) Knows(id RequestID) bool {
 	_, ok := r.byID[id]
 	return ok
 }
 
-// joinTurn puts a task at the end of its key's line and tells whether it is the first there.
+// joinTurn puts a request at the end of its key's line and tells whether it is the first there.
 func (r *Router) joinTurn(i int32) bool {
-	turn := r.turns[r.tasks[i].key]
+	turn := r.turns[r.requests[i].key]
 	if n := len(r.spare); turn.line == nil && n > 0 {
 		turn.line, r.spare = r.spare[n-1], r.spare[:n-1]
 	}
 	turn.line = append(turn.line, i)
-	r.turns[r.tasks[i].key] = turn
+	r.turns[r.requests[i].key] = turn
 	return len(turn.line) == 1
 }
 
-// restTurns forgets keys without tasks whose rest is over.
+// restTurns forgets keys without requests whose rest is over.
 func (r *Router) restTurns() {
 	if r.d.Settle == 0 {
 		return // drop forgets them at once
@@ -158,7 +158,7 @@
 	}
 }
 
-// forgetRested forgets a key that has no task and no rest before it, and keeps its line for another.
+// forgetRested forgets a key that has no request and no rest before it, and keeps its line for another.
 func (r *Router) forgetRested(key string, turn turn) {
 	if len(turn.line) == 0 && turn.rest <= r.now {
 		r.spare = append(r.spare, turn.line)
@@ -166,9 +166,9 @@
 	}
 }
 
-// drop forgets a task that is over and has no hand-off out, and lets the next of its key have its turn.
+// drop forgets a request that is over and has no attempt out, and lets the next of its key have its turn.
 func (r *Router) drop(i int32) {
-	t := &r.tasks[i]
+	t := &r.requests[i]
 	r.unhold(i)
 	delete(r.byID, t.id)
 	if t.key != "" {
@@ -181,28 +181,28 @@
 			r.hold(turn.line[0])
 		}
 	}
-	*t = task{}
+	*t = request{}
 	r.free = append(r.free, i)
 }
 
-// queue is where a task is held.
-func (r *Router) queue(t *task) *[]int32 { return &r.queues[t.tenant*len(r.d.Lanes)+t.lane] }
+// queue is where a request is held.
+func (r *Router) queue(t *request) *[]int32 { return &r.queues[t.tenant*len(r.d.Classes)+t.class] }
 
-// hold puts a task into its queue, in the order of arrival.
+// hold puts a request into its queue, in the order of arrival.
 func (r *Router) hold(i int32) {
-	q := r.queue(&r.tasks[i])
+	q := r.queue(&r.requests[i])
 	k := len(*q)
-	for k > 0 && r.tasks[(*q)[k-1]].seq > r.tasks[i].seq {
+	for k > 0 && r.requests[(*q)[k-1]].seq > r.requests[i].seq {
 		k--
 	}
 	*q = slices.Insert(*q, k, i)
-	r.tasks[i].queued = true
+	r.requests[i].queued = true
 	r.held++
 }
 
-// unhold takes a task out of its queue.
+// unhold takes a request out of its queue.
 func (r *Router) unhold(i int32) {
-	if t := &r.tasks[i]; t.queued {
+	if t := &r.requests[i]; t.queued {
 		q := r.queue(t)
 		k := slices.Index(*q, i)
 		*q = slices.Delete(*q, k, k+1)
@@ -230,24 +230,24 @@
 	return int32(i)
 }
 
-// span is the count for the present part of the ration's window; nil where there is no ration.
+// span is the count for the present part of the retry budget's window; nil where there is no retry budget.
 func (r *Router) span() *span {
-	if r.takes == nil {
+	if r.retries == nil {
 		return nil
 	}
-	index := r.now / (r.d.ExtraSpan/spans + 1)
-	s := &r.takes[index%(spans+1)]
+	index := r.now / (r.d.RetryWindow/spans + 1)
+	s := &r.retries[index%(spans+1)]
 	if s.index != index {
 		*s = span{index: index}
 	}
 	return s
 }
 
-// window counts, for the ration's window up to a span, the tasks that surely fall into it and the further
-// hand-offs that may.
+// window counts, for the retry budget's window up to a span, the requests that surely fall into it and the further
+// attempts that may.
 func (r *Router) window(last *span) (taken, extra float64) {
-	for i := range r.takes {
-		s := &r.takes[i]
+	for i := range r.retries {
+		s := &r.retries[i]
 		if s.index >= last.index-spans {
 			extra += s.extra
 			if s.index > last.index-spans+1 {
@@ -258,7 +258,7 @@
 	return taken, extra
 }
 
-// tell hands on what this router saw of an engine itself, and the bytes that the tasks taken since have paid for.
+// tell hands on what this router saw of an engine itself, and the bytes that the requests taken since have paid for.
 func (r *Router) tell(e *engine, saw Sight) {
 	if r.d.Peers {
 		r.host.Tell(e.Engine, saw, e.report, r.room)
@@ -268,9 +268,9 @@
 
 // sentTo counts the threads sent to an engine since a time that are still running.
 func (r *Router) sentTo(engine int32, since Time) (threads float64) {
-	for i := range r.tasks {
-		if t := &r.tasks[i]; t.out && t.engine == engine && t.sentAt >= since {
-			threads += float64(r.d.Lanes[t.lane].Threads)
+	for i := range r.requests {
+		if t := &r.requests[i]; t.out && t.engine == engine && t.sentAt >= since {
+			threads += float64(r.d.Classes[t.class].Threads)
 		}
 	}
 	return threads
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -1,10 +1,10 @@
-// Package admission decides, for one router, which task runs where and when.
+// Package admission decides, for one router, which request runs where and when.
 package admission
 
-// TaskID names a task and EngineID an engine, as the protocol gives them.
+// RequestID names a request and EngineID an engine, as the protocol gives them.
 type (
-	TaskID   string
-	EngineID string
+	RequestID string
+	EngineID  string
 )
 
 // Time is a point on the router's clock or a length of time, in tenths of a millisecond.
@@ -16,12 +16,12 @@
 	Second      Time = 1000 * Millisecond
 )
 
-// Outcome tells how a hand-off ended.
+// Outcome tells how a attempt ended.
 type Outcome uint8
 
-// The outcomes of hand-offs and probes.
+// The outcomes of attempts and probes.
 const (
-	Delivered   Outcome = iota
+	Served      Outcome = iota
 	Errored             // the engine gave an error; it may have run
 	Full                // turned away unseen
 	TimedOut            // no answer in time; it may still run
@@ -32,20 +32,20 @@
 	Lost                // the answer was spoilt, cut off or never came, for what the wire knows; it may have run
 )
 
-// NeverRan tells whether the outcome proves that the engine did not begin the task.
+// NeverRan tells whether the outcome proves that the engine did not begin the request.
 func (o Outcome) NeverRan() bool { return o == Full || o == Unreachable || o == Moot }
 
-// Foreseen is what is known of a task before it has run; a figure of zero is not told.
+// Foreseen is what is known of a request before it has run; a figure of zero is not told.
 type Foreseen struct {
-	Work   Time    // on one thread, usually
-	Upper  Time    // that nine of ten stay under
-	Memory float64 // MB
-	Class  int     // into which an operator's rules put it,
-	Trial  int     // and those that are rehearsed; nothing is decided by it
-	Past   Past
+	Work        Time    // on one thread, usually
+	Upper       Time    // that nine of ten stay under
+	Memory      float64 // MB
+	PolicyClass int     // into which an operator's rules put it,
+	Trial       int     // and those that are rehearsed; nothing is decided by it
+	Past        Past
 }
 
-// Past is what is known of a task's hand-offs by a process before this one; that of a new task is zero.
+// Past is what is known of a request's attempts by a process before this one; that of a new request is zero.
 type Past struct {
 	MayRan      bool // one was out whose end doesn't prove that nothing ran
 	DoubtAt     Time // when it went out
@@ -91,7 +91,7 @@
 // NoReport has no value at all.
 var NoReport = Report{-1, -1, -1, -1}
 
-// News is a kind of note about a running hand-off.
+// News is a kind of note about a running attempt.
 type News uint8
 
 // The kinds of notes.
@@ -101,17 +101,17 @@
 	Waits                // value: 1 for memory, 2 for a load
 )
 
-// Effect tells what a second run of a task would do.
+// Effect tells what a second run of a request would do.
 type Effect uint8
 
-// The effects of lanes.
+// The effects of classes.
 const (
 	Idempotent Effect = iota
 	Deduplicated
 	Unrepeatable
 )
 
-// Group tells which engines drop repeats of a deduplicated task.
+// Group tells which engines drop repeats of a deduplicated request.
 type Group uint8
 
 // The groups of engines.
@@ -127,9 +127,9 @@
 // The kinds of sights. Each comes with the engine's latest report.
 const (
 	Reported   Sight = iota
-	Answered         // a task came back well
-	Erred            // the rest count as distrust: an error, or an answer that was spoilt or lost
-	Unanswered       // silence, of a task or a probe
+	Answered         // a request came back well
+	Erred            // the rest count as failure score: an error, or an answer that was spoilt or lost
+	Unanswered       // silence, of a request or a probe
 	Unreached        // no connection, or a broken one
 )
 
@@ -137,7 +137,7 @@
 	return [...]string{"reported", "answered", "erred", "unanswered", "unreached"}[s]
 }
 
-// Fails tells whether a sight counts as distrust.
+// Fails tells whether a sight counts as failure score.
 func (s Sight) Fails() bool { return s >= Erred }
 
 // Finding is what others' evidence tells of one start of an engine.
--- a/internal/command/state.go
+++ b/internal/command/state.go
@@ -53,8 +53,8 @@
 		return nil, nil, fmt.Errorf("state: %w", err)
 	}
 	var lanes []ledger.Lane
-	for i, l := range start.Site.Lanes {
-		lanes = append(lanes, ledger.Lane{Effect: l.Effect, Remember: l.Remember, Longest: admission.Time(start.Network.Longest[i] / tenth)})
+	for i, l := range start.Site.Classes {
+		lanes = append(lanes, ledger.Lane{Effect: l.Effect, Remember: l.DedupWindow, Longest: admission.Time(start.Network.Longest[i] / tenth)})
 	}
 	var behind stateLog
 	book := ledger.New(&behind, lanes, int(megabytes)*tasksPerMB)
@@ -120,7 +120,7 @@
 }
 
 // whole puts the parts together; nil where there are none. Parts of two times don't fit, by the sum over all of them.
-func (m memoryParts) whole() (*admission.Memory, error) {
+func (m memoryParts) whole() (*admission.Snapshot, error) {
 	first := m[0]
 	if len(first) < 8 {
 		return nil, nil
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -35,48 +35,48 @@
 // Read decodes the part of the settings that decisions rest on.
 func Read(s *sheet.Sheet) (*admission.Deployment, error) {
 	d := &admission.Deployment{
-		Gateways:   max(1, int(s.Num("fleetSize"))),
-		Me:         int(s.Num("me")),
-		Cores:      s.Nums("familyInfo", "kindCores"),
-		Memory:     s.Nums("familyInfo", "sizeMb"),
-		Ranked:     s.Flag("familyInfo", "lanesCount"),
-		Grants:     s.Flag("familyInfo", "grants"),
-		Swaps:      s.At("familyInfo", "whenShort") == "swap",
-		TellsCost:  s.Flag("familyInfo", "saysCost"),
-		Cancels:    s.Flag("limits", "cancel"),
-		Probes:     s.Flag("limits", "probes"),
-		ProbePrice: s.Num("penalties", "probe"),
-		Peers:      s.Flag("limits", "peerMessages"),
-		PeerPrice:  s.Num("penalties", "peer"),
-		MaxTries:   int(s.Num("limits", "maxAttempts")),
-		Seats:      int(s.Num("limits", "maxOpen")),
-		Asks:       s.At("discovery") == "ask",
-		ColdShare:  s.Num("rules", "coldShare"),
-		WarmAfter:  up(s, "rules", "warmAfterUs"),
-		TipFactor:  s.Num("rules", "overloadFactor"),
-		TipAfter:   up(s, "rules", "tipAfterUs"),
-		ExtraFree:  s.Num("rules", "extraFree"),
-		ExtraShare: s.Num("rules", "resendRatio"),
-		ExtraSpan:  up(s, "rules", "ratioSpanUs"),
-		Settle:     up(s, "rules", "settleAfterDoubtUs"),
-		Pace:       up(s, "familyInfo", "progressPaceUs"),
+		Gateways:    max(1, int(s.Num("fleetSize"))),
+		Me:          int(s.Num("me")),
+		Cores:       s.Nums("familyInfo", "kindCores"),
+		Memory:      s.Nums("familyInfo", "sizeMb"),
+		Ranked:      s.Flag("familyInfo", "lanesCount"),
+		Grants:      s.Flag("familyInfo", "grants"),
+		Swaps:       s.At("familyInfo", "whenShort") == "swap",
+		TellsCost:   s.Flag("familyInfo", "saysCost"),
+		Cancels:     s.Flag("limits", "cancel"),
+		Probes:      s.Flag("limits", "probes"),
+		ProbePrice:  s.Num("penalties", "probe"),
+		Peers:       s.Flag("limits", "peerMessages"),
+		PeerPrice:   s.Num("penalties", "peer"),
+		MaxAttempts: int(s.Num("limits", "maxAttempts")),
+		Seats:       int(s.Num("limits", "maxOpen")),
+		Asks:        s.At("discovery") == "ask",
+		ColdShare:   s.Num("rules", "coldShare"),
+		WarmAfter:   up(s, "rules", "warmAfterUs"),
+		TipFactor:   s.Num("rules", "overloadFactor"),
+		TipAfter:    up(s, "rules", "tipAfterUs"),
+		RetryBurst:  s.Num("rules", "extraFree"),
+		RetryRatio:  s.Num("rules", "resendRatio"),
+		RetryWindow: up(s, "rules", "ratioSpanUs"),
+		Settle:      up(s, "rules", "settleAfterDoubtUs"),
+		Pace:        up(s, "familyInfo", "progressPaceUs"),
 	}
 	if s.Flag("limits", "retryAfter") {
-		d.ComeBack = down(s, "limits", "maxRetryAfterUs")
+		d.RetryAfter = down(s, "limits", "maxRetryAfterUs")
 	}
 	for i := range s.List("classes") {
-		l := admission.Lane{
-			Threads:     max(1, int(s.Num("familyInfo", "dop", i))),
-			Quoted:      down(s, "classes", i, "sloUs"),
-			Stretch:     s.Num("classes", i, "aimStretch"),
-			Earnings:    s.Num("classes", i, "worth"),
-			LateShare:   s.Num("classes", i, "lateWorth"),
-			Remember:    down(s, "classes", i, "windowUs"),
-			InOrder:     s.Flag("classes", i, "fifoByKey"),
-			Zones:       places(s, "classes", i, "confinedTo"),
-			Kinds:       places(s, "classes", i, "servedOn"),
-			Load:        s.Flag("familyInfo", "loads", i),
-			HeldByLoads: s.Flag("familyInfo", "blockedByLoads", i),
+		l := admission.Class{
+			Threads:        max(1, int(s.Num("familyInfo", "dop", i))),
+			LatencyTarget:  down(s, "classes", i, "sloUs"),
+			Stretch:        s.Num("classes", i, "aimStretch"),
+			Value:          s.Num("classes", i, "worth"),
+			LateShare:      s.Num("classes", i, "lateWorth"),
+			DedupWindow:    down(s, "classes", i, "windowUs"),
+			InOrder:        s.Flag("classes", i, "fifoByKey"),
+			Zones:          places(s, "classes", i, "confinedTo"),
+			Kinds:          places(s, "classes", i, "servedOn"),
+			Load:           s.Flag("familyInfo", "loads", i),
+			BlockedByLoads: s.Flag("familyInfo", "blockedByLoads", i),
 		}
 		switch s.At("classes", i, "effect") {
 		case "read_like":
@@ -90,18 +90,18 @@
 		}
 		switch s.At("classes", i, "group") {
 		case "zone":
-			l.Within = admission.SameZone
+			l.DedupWithin = admission.SameZone
 		case "cell":
-			l.Within = admission.SameCell
+			l.DedupWithin = admission.SameCell
 		}
-		d.Lanes = append(d.Lanes, l)
+		d.Classes = append(d.Classes, l)
 	}
 	for i := range s.List("projects") {
 		d.Tenants = append(d.Tenants, admission.Tenant{
 			Share: s.Num("projects", i, "fraction"),
 		})
 	}
-	if len(d.Lanes) == 0 && s.Err() == nil {
+	if len(d.Classes) == 0 && s.Err() == nil {
 		s.Fail("at least one class", "classes")
 	}
 	return d, s.Err()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -241,7 +241,7 @@
 }
 
 // Sent takes in a hand-off.
-func (f *Fleet) Sent(now admission.Time, task admission.TaskID, engine admission.EngineID) {
+func (f *Fleet) Sent(now admission.Time, task admission.RequestID, engine admission.EngineID) {
 	f.cold.sent(now, engine)
 	if asOf := f.AsOf(); f.history != nil {
 		f.box.Put(func() { // in the order in which the owner told it and the list
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -30,11 +30,11 @@
 
 type nobody struct{}
 
-func (nobody) HandOff(admission.TaskID, admission.EngineID, admission.Time, admission.Time) {}
-func (nobody) Cancel(admission.TaskID, int)                                                 {}
-func (nobody) Nack(admission.TaskID, admission.Time)                                        {}
-func (nobody) WriteOff(admission.TaskID)                                                    {}
-func (nobody) Terms(admission.TaskID, float64, int)                                         {}
+func (nobody) Send(admission.RequestID, admission.EngineID, admission.Time, admission.Time) {}
+func (nobody) Cancel(admission.RequestID, int)                                              {}
+func (nobody) Reject(admission.RequestID, admission.Time)                                   {}
+func (nobody) Fail(admission.RequestID)                                                     {}
+func (nobody) Terms(admission.RequestID, float64, int)                                      {}
 func (nobody) Probe(admission.EngineID)                                                     {}
 func (nobody) Subscribe()                                                                   {}
 func (nobody) ColdRoom(admission.EngineID, float64) (room, shared bool)                     { return false, false }
@@ -66,7 +66,7 @@
 	var all []*Fleet
 	clock := wall{time.Now()}
 	for i, a := range addresses {
-		site := &admission.Deployment{Gateways: 4, Me: i, Peers: true, Lanes: []admission.Lane{{Threads: 1, Quoted: 1000}}}
+		site := &admission.Deployment{Gateways: 4, Me: i, Peers: true, Classes: []admission.Class{{Threads: 1, LatencyTarget: 1000}}}
 		start := &deployment.Start{Name: fmt.Sprint("g", i), Site: site, Network: &deployment.Network{Zones: []string{"a"}, Longest: []time.Duration{50 * time.Millisecond}}}
 		f, err := New(Plan{Listen: a, Seeds: addresses[:2], Key: filepath.Join(folder, "key"), Rate: 1 << 20, Control: filepath.Join(folder, start.Name+".sock"),
 			History: filepath.Join(folder, start.Name+".history"), Sharing: true,
--- a/internal/fleet/policy.go
+++ b/internal/fleet/policy.go
@@ -111,7 +111,7 @@
 func (f *Fleet) Ruling() *Ruling { return f.ruling.Load() }
 
 // Pass tells whether a hand-off that a number had go out may be written now; Passed follows once it is.
-func (f *Fleet) Pass(by uint64, task admission.TaskID) bool {
+func (f *Fleet) Pass(by uint64, task admission.RequestID) bool {
 	f.passing.Add(1)
 	asOf := f.AsOf()
 	if by != f.ruling.Load().By(f.clock.Now()) {
@@ -123,7 +123,7 @@
 }
 
 // Passed takes in that it is written.
-func (f *Fleet) Passed(by uint64, task admission.TaskID) {
+func (f *Fleet) Passed(by uint64, task admission.RequestID) {
 	f.passing.Add(-1)
 	if f.history != nil {
 		f.history.Write(history.Event{What: history.Wrote, Task: string(task)})
@@ -139,7 +139,7 @@
 }
 
 // Decided has the history know what was decided of a task, by what (0: without any number), and when that was looked at.
-func (f *Fleet) Decided(what string, by uint64, task admission.TaskID, asOf int64) {
+func (f *Fleet) Decided(what string, by uint64, task admission.RequestID, asOf int64) {
 	if f.history != nil {
 		f.history.Write(history.Event{What: history.Decided, Code: what, Number: int(by&^byBoth) - 1, Out: by&byBoth != 0, Task: string(task), AsOf: asOf})
 	}
--- a/internal/judgement/judgement.go
+++ b/internal/judgement/judgement.go
@@ -118,8 +118,8 @@
 // says how many tasks may fail at first; else a zone's, which it must do without when it loses one; else a quarter.
 func Share(d *admission.Deployment, zones int) float64 {
 	switch {
-	case d.ExtraSpan > 0 && d.ExtraShare > 0:
-		return min(0.5, d.ExtraShare)
+	case d.RetryWindow > 0 && d.RetryRatio > 0:
+		return min(0.5, d.RetryRatio)
 	case zones > 1:
 		return min(0.5, 1/float64(zones))
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -18,7 +18,7 @@
 type Key [16]byte
 
 // KeyOf is a task's key: an id of 16 letters is its own, a longer or shorter one is hashed.
-func KeyOf(id admission.TaskID) (k Key) {
+func KeyOf(id admission.RequestID) (k Key) {
 	if len(id) == len(k) {
 		copy(k[:], id)
 		return k
@@ -193,7 +193,7 @@
 )
 
 // Ask tells what is known of a task.
-func (l *Ledger) Ask(id admission.TaskID) (s Standing, e *Entry) {
+func (l *Ledger) Ask(id admission.RequestID) (s Standing, e *Entry) {
 	e = l.entries[KeyOf(id)]
 	switch {
 	case e == nil:
@@ -208,7 +208,7 @@
 
 // Take takes a task in, or one that is known on again. The record goes out without being waited for: without it a client
 // that asks again finds a new task, and nothing has run.
-func (l *Ledger) Take(now admission.Time, id admission.TaskID, lane int, cutoff admission.Time) *Entry {
+func (l *Ledger) Take(now admission.Time, id admission.RequestID, lane int, cutoff admission.Time) *Entry {
 	now = l.time(now)
 	key := KeyOf(id)
 	e := l.entries[key]
@@ -240,7 +240,7 @@
 // Going records that a hand-off is about to go out. For a lane whose tasks may not run twice, may is called once that
 // survives, or with why it may not, and before it not a byte may go to the engine; wait tells of that. Else the hand-off
 // may go out at once.
-func (l *Ledger) Going(now admission.Time, id admission.TaskID, zone, group int, may func(error)) (wait bool) {
+func (l *Ledger) Going(now admission.Time, id admission.RequestID, zone, group int, may func(error)) (wait bool) {
 	now = l.time(now)
 	key := KeyOf(id)
 	e := l.entries[key]
@@ -261,7 +261,7 @@
 }
 
 // Ended records how a hand-off ended.
-func (l *Ledger) Ended(now admission.Time, id admission.TaskID, neverRan bool) {
+func (l *Ledger) Ended(now admission.Time, id admission.RequestID, neverRan bool) {
 	l.time(now)
 	key := KeyOf(id)
 	e := l.entries[key]
@@ -278,7 +278,7 @@
 
 // End records a final answer. For a lane whose tasks may not run twice may is called once it survives, and before it the
 // client must not see the answer: else another could be given after a crash. wait tells of that; else it may see it at once.
-func (l *Ledger) End(now admission.Time, id admission.TaskID, outcome Outcome, rows [][]byte, may func(error)) (wait bool) {
+func (l *Ledger) End(now admission.Time, id admission.RequestID, outcome Outcome, rows [][]byte, may func(error)) (wait bool) {
 	now = l.time(now)
 	key := KeyOf(id)
 	e := l.entries[key]
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -56,7 +56,7 @@
 
 // told is what an engine or a client has seen.
 type told struct {
-	id     admission.TaskID
+	id     admission.RequestID
 	sent   bool // a hand-off's first byte,
 	proved bool // or proof that nothing of it ran; else an answer
 	out    ledger.Outcome
@@ -76,7 +76,7 @@
 	now := 1000 * second
 	see := func(t told) { t.size = len(f.Bytes(segment)); seen = append(seen, t) }
 	for n := range 12 {
-		id := admission.TaskID(fmt.Sprintf("%016x", n))
+		id := admission.RequestID(fmt.Sprintf("%016x", n))
 		lane := n % 3
 		now += second / 10
 		l.Take(now, id, lane, now+10*second)
@@ -288,7 +288,7 @@
 	}
 	<-begun
 	for n := range 1000 {
-		id := admission.TaskID(fmt.Sprintf("%016x", 100+n))
+		id := admission.RequestID(fmt.Sprintf("%016x", 100+n))
 		l.Take(1000*second, id, 0, 1010*second)
 		if l.Going(1000*second, id, 0, 0, nil) {
 			t.Fatal("a look-up waits for the disk")
@@ -316,7 +316,7 @@
 		t.Fatal(err)
 	}
 	for n := range 6 {
-		id := admission.TaskID(fmt.Sprintf("%016x", n))
+		id := admission.RequestID(fmt.Sprintf("%016x", n))
 		l.Take(1000*second, id, n%3, 1010*second)
 		if n < 3 {
 			wait(func(may func(error)) bool { return l.Going(1000*second, id, 0, 0, may) })
@@ -330,7 +330,7 @@
 	l.Take(1002*second, "0000000000000005", 2, 1020*second)
 	l.Due(1011 * second)
 	for n, want := range []ledger.Outcome{ledger.Nacked, ledger.WrittenOff, ledger.WrittenOff, ledger.Nacked, ledger.Nacked, ledger.Open} {
-		if _, e := l.Ask(admission.TaskID(fmt.Sprintf("%016x", n))); e == nil || e.Outcome != want {
+		if _, e := l.Ask(admission.RequestID(fmt.Sprintf("%016x", n))); e == nil || e.Outcome != want {
 			t.Errorf("task %d: %+v, expected %v", n, e, want)
 		}
 	}
@@ -348,7 +348,7 @@
 	}
 	defer s.Close()
 	for n := range 1500 {
-		id := admission.TaskID(fmt.Sprintf("%016x", n))
+		id := admission.RequestID(fmt.Sprintf("%016x", n))
 		now := 1000*second + admission.Time(n)
 		l.Take(now, id, 0, now+second)
 		l.End(now, id, ledger.Nacked, nil, func(error) {})
--- a/internal/operator/desk.go
+++ b/internal/operator/desk.go
@@ -47,7 +47,7 @@
 	}
 	d := &Desk{zones: start.Network.Zones, kinds: start.Network.Kinds, file: s, book: s.Book(len(start.Network.Lanes)), route: r, lanes: start.Network.Lanes, log: log,
 		keeps: s.Snapshot, saidAt: time.Now(), agedAt: time.Now()}
-	for _, l := range start.Site.Lanes {
+	for _, l := range start.Site.Classes {
 		d.loads = append(d.loads, l.Load)
 	}
 	d.plan.Store(&s.Plan)
@@ -186,7 +186,7 @@
 		return f, true, ""
 	}
 	f = k.foreseen()
-	f.Class = number
+	f.PolicyClass = number
 	return f, false, ""
 }
 
@@ -205,10 +205,10 @@
 		}
 		d.shadow.Sent(n, threads, ms(f.Work))
 	}
-	if f.Class == 0 {
+	if f.PolicyClass == 0 {
 		return 0, 0
 	}
-	return d.route.Sent(f.Class, threads, ms(f.Work)), d.opened
+	return d.route.Sent(f.PolicyClass, threads, ms(f.Work)), d.opened
 }
 
 // Back takes in a hand-off's end.
@@ -216,8 +216,8 @@
 	if n := d.triedAs(&f); n > 0 {
 		d.shadow.Back(n, threads, charged, ms(work), waits)
 	}
-	if f.Class > 0 {
-		d.route.Back(f.Class, threads, charged, ms(work), waits)
+	if f.PolicyClass > 0 {
+		d.route.Back(f.PolicyClass, threads, charged, ms(work), waits)
 	}
 }
 
@@ -226,18 +226,18 @@
 	if n := d.triedAs(&f); n > 0 {
 		d.shadow.Left(n)
 	}
-	if f.Class > 0 {
-		d.route.Left(f.Class)
+	if f.PolicyClass > 0 {
+		d.route.Left(f.PolicyClass)
 	}
 }
 
 // Pass tells whether a hand-off may be written that was decided by some number of the fleet's policies.
-func (d *Desk) Pass(by uint64, task admission.TaskID) bool {
+func (d *Desk) Pass(by uint64, task admission.RequestID) bool {
 	return d.law == nil || d.law.Pass(by, task)
 }
 
 // Passed takes in that it is written.
-func (d *Desk) Passed(by uint64, task admission.TaskID) {
+func (d *Desk) Passed(by uint64, task admission.RequestID) {
 	if d.law != nil {
 		d.law.Passed(by, task)
 	}
--- a/internal/operator/law.go
+++ b/internal/operator/law.go
@@ -41,9 +41,9 @@
 // Law is what the fleet has decided, as far as this gateway may go by it.
 type Law interface {
 	Ruling() *fleet.Ruling
-	Pass(by uint64, task admission.TaskID) bool
-	Passed(by uint64, task admission.TaskID)
-	Decided(what string, by uint64, task admission.TaskID, asOf int64)
+	Pass(by uint64, task admission.RequestID) bool
+	Passed(by uint64, task admission.RequestID)
+	Decided(what string, by uint64, task admission.RequestID, asOf int64)
 	AsOf() int64
 }
 
@@ -233,7 +233,7 @@
 		return f, true, ""
 	}
 	d.law.Decided("taken", by, "", asOf)
-	f.Class = number
+	f.PolicyClass = number
 	return f, false, ""
 }
 
--- a/internal/operator/law_test.go
+++ b/internal/operator/law_test.go
@@ -19,12 +19,12 @@
 // court stands for the fleet: what it has decided is set by hand.
 type court struct{ ruling *fleet.Ruling }
 
-func (c *court) Ruling() *fleet.Ruling                           { return c.ruling }
-func (c *court) Pass(by uint64, _ admission.TaskID) bool         { return by == c.ruling.By(0) }
-func (c *court) Passed(uint64, admission.TaskID)                 {}
-func (c *court) Decided(string, uint64, admission.TaskID, int64) {}
-func (c *court) AsOf() int64                                     { return 0 }
-func (c *court) hold(number uint64, p fleet.Policy)              { c.ruling = held(number, p) }
+func (c *court) Ruling() *fleet.Ruling                              { return c.ruling }
+func (c *court) Pass(by uint64, _ admission.RequestID) bool         { return by == c.ruling.By(0) }
+func (c *court) Passed(uint64, admission.RequestID)                 {}
+func (c *court) Decided(string, uint64, admission.RequestID, int64) {}
+func (c *court) AsOf() int64                                        { return 0 }
+func (c *court) hold(number uint64, p fleet.Policy)                 { c.ruling = held(number, p) }
 
 func held(number uint64, p fleet.Policy) *fleet.Ruling {
 	r := &fleet.Ruling{Standing: charter.Standing{Number: number, Until: 1 << 50, Heard: true}, Policy: p}
@@ -35,7 +35,7 @@
 }
 
 func judged(t testing.TB) (*Desk, *court, func(classes string) fleet.Policy) {
-	start := &deployment.Start{Site: &admission.Deployment{Lanes: make([]admission.Lane, 2), Cores: []float64{8}}, Network: &deployment.Network{Lanes: []string{"look", "load"}, Zones: []string{"norte", "sur"}, Kinds: []string{"std"}}}
+	start := &deployment.Start{Site: &admission.Deployment{Classes: make([]admission.Class, 2), Cores: []float64{8}}, Network: &deployment.Network{Lanes: []string{"look", "load"}, Zones: []string{"norte", "sur"}, Kinds: []string{"std"}}}
 	d, err := NewDesk(&Statements{Memory: 1 << 20, LogEvery: time.Hour}, start, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	if err != nil {
 		t.Fatal(err)
@@ -81,10 +81,10 @@
 				fmt.Fprint(&out, refuse)
 			case crowded:
 				fmt.Fprint(&out, "nacked")
-			case f.Class == 0:
+			case f.PolicyClass == 0:
 				fmt.Fprint(&out, "free")
 			default:
-				if fmt.Fprint(&out, d.Name(f.Class)); !d.Open(10, f.Class, 2) {
+				if fmt.Fprint(&out, d.Name(f.PolicyClass)); !d.Open(10, f.PolicyClass, 2) {
 					fmt.Fprint(&out, ", waits")
 				} else {
 					charged, by := d.Sent(f, 2)
@@ -96,7 +96,7 @@
 						fmt.Fprint(&out, " by both")
 					}
 					d.Back(f, 2, charged, 0, false)
-					f.Class = 0
+					f.PolicyClass = 0
 				}
 				d.Left(f)
 			}
@@ -152,19 +152,19 @@
 		return f
 	}
 	a, b, old := arrive(1), arrive(1), arrive(0)
-	if !d.Open(20, a.Class, 2) {
+	if !d.Open(20, a.PolicyClass, 2) {
 		t.Fatal("two of four threads are not free")
 	}
 	charged, _ := d.Sent(a, 2)
 	c.hold(2, two)
-	if d.Open(30, b.Class, 2) {
+	if d.Open(30, b.PolicyClass, 2) {
 		t.Error("two threads more go out, where two of two run")
 	}
-	if name := d.Name(old.Class); name != "old" || !d.Open(30, old.Class, 1) {
+	if name := d.Name(old.PolicyClass); name != "old" || !d.Open(30, old.PolicyClass, 1) {
 		t.Errorf("a task of a class that is gone can't end: %s", name)
 	}
 	d.Back(a, 2, charged, 0, false)
-	if !d.Open(40, b.Class, 2) {
+	if !d.Open(40, b.PolicyClass, 2) {
 		t.Error("what ended is not free")
 	}
 }
@@ -182,7 +182,7 @@
 		if crowded || refuse != "" {
 			t.Fatal("the rehearsal decides")
 		}
-		if f.Class > 0 && !d.Open(20, f.Class, 2) {
+		if f.PolicyClass > 0 && !d.Open(20, f.PolicyClass, 2) {
 			t.Fatal("the rehearsal holds")
 		}
 		d.Sent(f, 2)
@@ -221,7 +221,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				f, _, _ := d.Arrived(20, reader)
-				d.Open(20, f.Class, 2)
+				d.Open(20, f.PolicyClass, 2)
 				charged, number := d.Sent(f, 2)
 				d.Pass(number, "")
 				d.Passed(number, "")
--- a/internal/route/desk_test.go
+++ b/internal/route/desk_test.go
@@ -24,32 +24,32 @@
 	desk  *Desk
 	at    admission.Time
 	out   strings.Builder
-	class map[admission.TaskID]int // of tasks in hand
-	sent  map[admission.TaskID]bool
+	class map[admission.RequestID]int // of tasks in hand
+	sent  map[admission.RequestID]bool
 }
 
 func (s *script) say(format string, args ...any) {
 	fmt.Fprintf(&s.out, "%6d ms  %s\n", s.at/ms, fmt.Sprintf(format, args...))
 }
 
-func (s *script) HandOff(t admission.TaskID, e admission.EngineID, _, _ admission.Time) {
+func (s *script) Send(t admission.RequestID, e admission.EngineID, _, _ admission.Time) {
 	s.say("  -> hand %s to %s", t, e)
 	if n := s.class[t]; n > 0 {
 		s.desk.Sent(n, 2, 100)
 	}
 	s.sent[t] = true
 }
-func (s *script) Nack(t admission.TaskID, _ admission.Time) { s.over(t, "nack") }
-func (s *script) WriteOff(t admission.TaskID)               { s.over(t, "write off") }
-func (s *script) over(t admission.TaskID, how string) {
+func (s *script) Reject(t admission.RequestID, _ admission.Time) { s.over(t, "nack") }
+func (s *script) Fail(t admission.RequestID)                     { s.over(t, "write off") }
+func (s *script) over(t admission.RequestID, how string) {
 	s.say("  -> %s %s", how, t)
 	if n := s.class[t]; n > 0 && !s.sent[t] {
 		s.desk.Left(n)
 	}
 	delete(s.class, t)
 }
-func (s *script) Cancel(admission.TaskID, int)                                        {}
-func (s *script) Terms(admission.TaskID, float64, int)                                {}
+func (s *script) Cancel(admission.RequestID, int)                                     {}
+func (s *script) Terms(admission.RequestID, float64, int)                             {}
 func (s *script) Probe(admission.EngineID)                                            {}
 func (s *script) Tell(admission.EngineID, admission.Sight, admission.Report, float64) {}
 func (s *script) Subscribe()                                                          {}
@@ -63,13 +63,13 @@
 
 // begin starts with engines a1 and a2 in zone 0 and b1 in zone 1, and a plan.
 func begin(p *Plan) *script {
-	s := &script{class: map[admission.TaskID]int{}, sent: map[admission.TaskID]bool{}}
+	s := &script{class: map[admission.RequestID]int{}, sent: map[admission.RequestID]bool{}}
 	var err error
 	if s.desk, err = New(0, p, []float64{4}, []string{"norte", "sur"}, []string{"std"}); err != nil {
 		panic(err)
 	}
-	s.Router = admission.New(0, 7, &admission.Deployment{Gateways: 1, Cores: []float64{4}, MaxTries: 4, Lanes: []admission.Lane{
-		{Threads: 2, Quoted: 2 * second, Earnings: 1}, {Threads: 2, Quoted: 2 * second, Earnings: 3}}}, s)
+	s.Router = admission.New(0, 7, &admission.Deployment{Gateways: 1, Cores: []float64{4}, MaxAttempts: 4, Classes: []admission.Class{
+		{Threads: 2, LatencyTarget: 2 * second, Value: 1}, {Threads: 2, LatencyTarget: 2 * second, Value: 3}}}, s)
 	s.Guard(s.desk)
 	s.list(admission.Remembered, engine("a1", 0), engine("a2", 0), engine("b1", 1))
 	return s
@@ -97,7 +97,7 @@
 }
 
 // task brings one of the plan's n-th class.
-func (s *script) task(id admission.TaskID, n int) {
+func (s *script) task(id admission.RequestID, n int) {
 	s.say("%s arrives, class %d of the plan", id, n)
 	number, ruling, text := s.desk.Arrived(n)
 	switch ruling {
@@ -109,17 +109,17 @@
 		return
 	}
 	s.class[id] = number
-	s.Arrived(s.at, id, s.at+10*second, 0, 0, "", 0, admission.Foreseen{Class: number})
+	s.Arrived(s.at, id, s.at+10*second, 0, 0, "", 0, admission.Foreseen{PolicyClass: number})
 }
 
-func (s *script) end(id admission.TaskID, how admission.Outcome, cost float64) {
-	s.say("%s ends: %s", id, map[admission.Outcome]string{admission.Delivered: "delivered", admission.Reset: "reset"}[how])
+func (s *script) end(id admission.RequestID, how admission.Outcome, cost float64) {
+	s.say("%s ends: %s", id, map[admission.Outcome]string{admission.Served: "delivered", admission.Reset: "reset"}[how])
 	if n := s.class[id]; n > 0 {
-		s.desk.Back(n, 2, 100, cost, how != admission.Delivered)
+		s.desk.Back(n, 2, 100, cost, how != admission.Served)
 	}
 	s.sent[id] = false
-	s.Ended(s.at, id, how, how == admission.Delivered, 0, 0, admission.NoReport)
-	if how == admission.Delivered {
+	s.Ended(s.at, id, how, how == admission.Served, 0, 0, admission.NoReport)
+	if how == admission.Served {
 		delete(s.class, id)
 	}
 }
@@ -143,24 +143,24 @@
 var scripts = map[string]func() *script{
 	"limit": func() *script { // two of a class at a time, then in order; a third that waits is nacked at once
 		s := begin(&Plan{Classes: []Class{{Name: "scan", Threads: 4, Waiting: 2}}})
-		for _, id := range []admission.TaskID{"t1", "t2", "t3", "t4", "t5"} {
+		for _, id := range []admission.RequestID{"t1", "t2", "t3", "t4", "t5"} {
 			s.task(id, 1)
 		}
 		s.task("other", 0)
-		s.end("t1", admission.Delivered, 80)
+		s.end("t1", admission.Served, 80)
 		s.end("t2", admission.Reset, 0) // it waits again, ahead of the one that came later
 		s.states()
 		return s
 	},
 	"lowered": func() *script { // below what runs: nothing more goes out until enough has ended
 		s := begin(&Plan{Classes: []Class{{Name: "scan", Threads: 8}}})
-		for _, id := range []admission.TaskID{"t1", "t2", "t3", "t4", "t5"} {
+		for _, id := range []admission.RequestID{"t1", "t2", "t3", "t4", "t5"} {
 			s.task(id, 1)
 		}
 		s.renew(&Plan{Classes: []Class{{Name: "scan", Threads: 4}}})
 		s.states()
-		for _, id := range []admission.TaskID{"t1", "t2", "t3"} {
-			s.end(id, admission.Delivered, 80)
+		for _, id := range []admission.RequestID{"t1", "t2", "t3"} {
+			s.end(id, admission.Served, 80)
 		}
 		s.states()
 		return s
@@ -177,7 +177,7 @@
 		s.task("free2", 0)
 		s.tell("a2", 0, admission.Live)
 		s.pass(1500 * ms)
-		s.end("t1", admission.Delivered, 80)
+		s.end("t1", admission.Served, 80)
 		s.tell("a2", 0, admission.Gone)
 		s.task("t3", 1)
 		s.pass(4 * second)
@@ -200,11 +200,11 @@
 	"work a second": func() *script { // what costs more than foreseen is owed, what isn't used for a second is gone
 		s := begin(&Plan{Classes: []Class{{Name: "scan", Work: 150}}})
 		s.pass(5 * second)
-		for _, id := range []admission.TaskID{"t1", "t2", "t3"} {
+		for _, id := range []admission.RequestID{"t1", "t2", "t3"} {
 			s.task(id, 1)
 		}
-		s.end("t1", admission.Delivered, 400)
-		s.end("t2", admission.Delivered, 100)
+		s.end("t1", admission.Served, 400)
+		s.end("t2", admission.Served, 100)
 		s.pass(8500 * ms)
 		return s
 	},
@@ -220,8 +220,8 @@
 		s.renew(&Plan{Classes: []Class{{Name: "new", Threads: 6}}})
 		s.task("t4", 1)
 		s.states()
-		s.end("t1", admission.Delivered, 80)
-		s.end("t2", admission.Delivered, 80)
+		s.end("t1", admission.Served, 80)
+		s.end("t2", admission.Served, 80)
 		s.pass(20 * ms)
 		s.states()
 		s.say("%d pools", len(s.desk.pools)-1)
@@ -229,10 +229,10 @@
 	},
 	"distrusted pool": func() *script { // what strikes all of a pool condemns none of it, though others are sound
 		s := begin(&Plan{Pools: norte, Classes: []Class{{Name: "scan", Pool: "n"}}})
-		for _, id := range []admission.TaskID{"t1", "t2", "t3", "t4"} {
+		for _, id := range []admission.RequestID{"t1", "t2", "t3", "t4"} {
 			s.task(id, 1)
 		}
-		for _, id := range []admission.TaskID{"t1", "t2", "t3", "t4"} {
+		for _, id := range []admission.RequestID{"t1", "t2", "t3", "t4"} {
 			s.end(id, admission.Reset, 0)
 		}
 		s.pass(200 * ms)
--- a/internal/router/answer.go
+++ b/internal/router/answer.go
@@ -38,7 +38,7 @@
 // be read; where one can't, what follows on the connection is of no more use.
 func (l *engineConn) answer(parts [][]byte) bool {
 	e := l.e
-	request := admission.TaskID(parts[0])
+	request := admission.RequestID(parts[0])
 	var fields, body []byte
 	if len(parts) > 2 {
 		fields = parts[2]
@@ -169,7 +169,7 @@
 	}
 	h.pages[n] = append([]byte{}, body...)
 	if h.missing--; h.missing == 0 {
-		l.ended(h, admission.Delivered)
+		l.ended(h, admission.Served)
 	}
 	return true
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -15,8 +15,8 @@
 type attempt struct {
 	of        *request
 	to        engineClient
-	engine    admission.EngineID // to's
-	request   admission.TaskID   // of's id
+	engine    admission.EngineID  // to's
+	request   admission.RequestID // of's id
 	n         int
 	over      bool
 	again     bool              // it was never written on its first connection
--- a/internal/router/desk.go
+++ b/internal/router/desk.go
@@ -19,8 +19,8 @@
 	Left(f admission.Foreseen)
 	// Pass tells, right before an attempt is written, whether the rules that had it go out are still gone by; Passed follows once it
 	// is written. Both are called by the goroutine that writes.
-	Pass(by uint64, request admission.TaskID) bool
-	Passed(by uint64, request admission.TaskID)
+	Pass(by uint64, request admission.RequestID) bool
+	Passed(by uint64, request admission.RequestID)
 	Name(class int) string
 	Reader() Reader
 }
@@ -39,7 +39,7 @@
 // sent notes an attempt.
 func (o *owner) sent(h *attempt) {
 	if t := h.of; t.seen() {
-		h.foreseen, h.threads = t.foreseen, float64(o.site.Lanes[t.class].Threads)
+		h.foreseen, h.threads = t.foreseen, float64(o.site.Classes[t.class].Threads)
 		h.charged, h.by = o.desk.Sent(t.foreseen, h.threads)
 		t.held = false
 	}
@@ -47,7 +47,7 @@
 
 // back tells the module that an attempt has ended, and before it what limits its class.
 func (o *owner) back(now admission.Time, h *attempt, how admission.Outcome, over bool, work admission.Time, memory float64) {
-	if f := &h.foreseen; f.Class > 0 || f.Trial > 0 {
+	if f := &h.foreseen; f.PolicyClass > 0 || f.Trial > 0 {
 		waits := !over && o.requests[h.of.id] == h.of
 		o.desk.Back(h.foreseen, h.threads, h.charged, work, waits)
 		if waits {
--- a/internal/router/engine.go
+++ b/internal/router/engine.go
@@ -81,7 +81,7 @@
 		}
 	}
 	if best == nil || best.out > 0 && e.o.engineConns.Load() < e.o.engineRoom {
-		best = &engineConn{e: e, open: map[admission.TaskID]*attempt{}}
+		best = &engineConn{e: e, open: map[admission.RequestID]*attempt{}}
 		e.conns = append(e.conns, best)
 		e.o.connections.Add(1)
 		e.o.engineConns.Add(1)
--- a/internal/router/engine_conn.go
+++ b/internal/router/engine_conn.go
@@ -17,9 +17,9 @@
 // engineConn is a connection for attempts.
 type engineConn struct {
 	e       *engine
-	open    map[admission.TaskID]*attempt // until their requests are over, as late answers and second copies may come
-	out     int                           // of those, without a last answer
-	waiting []*attempt                    // until it is up
+	open    map[admission.RequestID]*attempt // until their requests are over, as late answers and second copies may come
+	out     int                              // of those, without a last answer
+	waiting []*attempt                       // until it is up
 	tcp     net.Conn
 	used    time.Time
 	heard   time.Time // when an answer came, or the first attempt went out on it
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -8,7 +8,7 @@
 // host is what the module's decisions act on.
 type host struct{ o *owner }
 
-func (a host) HandOff(id admission.TaskID, name admission.EngineID, timeout, sendBy admission.Time) {
+func (a host) Send(id admission.RequestID, name admission.EngineID, timeout, sendBy admission.Time) {
 	t, e := a.o.requests[id], a.o.engines[name]
 	h := &attempt{of: t, to: e, engine: name, request: id, n: t.tries, class: t.className, statement: t.statement, token: t.token, timeout: timeout, sendBy: sendBy,
 		memory: t.memory, rank: t.rank, report: admission.NoReport}
@@ -29,23 +29,23 @@
 	a.o.going(h, name)
 }
 
-func (a host) Cancel(id admission.TaskID, n int) {
+func (a host) Cancel(id admission.RequestID, n int) {
 	if t := a.o.requests[id]; t != nil && t.out != nil && t.out.n == n {
 		a.o.tellEnded(t.out, admission.Cancelled)
 	}
 }
 
-func (a host) Nack(id admission.TaskID, comeBack admission.Time) {
+func (a host) Reject(id admission.RequestID, comeBack admission.Time) {
 	t := a.o.requests[id]
 	a.o.answer(a.o.now, t, ledger.Nacked, nil, func() { t.by.rejected(comeBack) })
 }
 
-func (a host) WriteOff(id admission.TaskID) {
+func (a host) Fail(id admission.RequestID) {
 	t := a.o.requests[id]
 	a.o.answer(a.o.now, t, ledger.WrittenOff, nil, t.by.failed)
 }
 
-func (a host) Terms(id admission.TaskID, memory float64, rank int) {
+func (a host) Terms(id admission.RequestID, memory float64, rank int) {
 	t := a.o.requests[id]
 	t.memory, t.rank = memory, rank
 	if h := t.out; h != nil && !h.carried {
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -37,7 +37,7 @@
 
 	now      admission.Time
 	module   *admission.Router
-	requests map[admission.TaskID]*request // taken and without a final answer
+	requests map[admission.RequestID]*request // taken and without a final answer
 	engines  map[admission.EngineID]engineClient
 	dial     func(address string) (net.Conn, error)                     // connects to an engine, within the time that the site allows
 	connect  func(name admission.EngineID, address string) engineClient // makes one for an engine
@@ -51,7 +51,7 @@
 
 func newOwner(start *deployment.Start, clock Clock, log *slog.Logger) *owner {
 	o := &owner{clock: clock, inbox: inbox.New(), log: log, network: start.Network, site: start.Site, now: clock.Now(),
-		sessions: map[uint32]*session{}, requests: map[admission.TaskID]*request{},
+		sessions: map[uint32]*session{}, requests: map[admission.RequestID]*request{},
 		engines: map[admission.EngineID]engineClient{}}
 	o.dial = func(address string) (net.Conn, error) {
 		return net.DialTimeout("tcp", address, o.network.ConnectWithin)
@@ -170,14 +170,14 @@
 			t.by.denied(refuse)
 			return
 		case crowded:
-			t.by.rejected(o.site.ComeBack)
+			t.by.rejected(o.site.RetryAfter)
 			return
 		}
 		f.Past = t.foreseen.Past
 		if f.Work == 0 { // what the client says of it stands where nothing was learned
 			f.Work, f.Memory = t.foreseen.Work, max(f.Memory, t.foreseen.Memory)
 		}
-		t.foreseen, t.policyClass = f, f.Class
+		t.foreseen, t.policyClass = f, f.PolicyClass
 	}
 	if o.keep != nil && !o.take(now, t) {
 		if t.seen() {
@@ -210,7 +210,7 @@
 	var work admission.Time
 	var memory float64
 	switch how {
-	case admission.Delivered:
+	case admission.Served:
 		work, memory = h.work, h.needs
 		if o.requests[t.id] == t {
 			o.answer(now, t, ledger.Delivered, h.pages, func() { t.by.served(h) })
@@ -233,7 +233,7 @@
 		}
 		how = unsent
 	}
-	o.back(now, h, how, how == admission.Delivered, work, memory)
+	o.back(now, h, how, how == admission.Served, work, memory)
 }
 
 // again sends an attempt once more that was never written, as its connection broke when it was new: that tells
@@ -257,8 +257,8 @@
 
 // givenUp tells the module of an attempt that was called off or timed out, once the engine has heard of it.
 func (o *owner) givenUp(now admission.Time, h *attempt) {
-	if how := h.doubt; how != admission.Delivered {
-		h.doubt = admission.Delivered
+	if how := h.doubt; how != admission.Served {
+		h.doubt = admission.Served
 		h.stop()
 		o.back(now, h, how, false, 0, 0)
 	}
--- a/internal/router/owner_test.go
+++ b/internal/router/owner_test.go
@@ -31,7 +31,7 @@
 				if o.sessions[c] == nil || o.sessions[c].taken == nil {
 					k := &session{o: o, connection: c, mail: newMailbox()}
 					o.sessions[c] = k
-					k.taken = &request{id: admission.TaskID(fmt.Sprint(rng.Intn(30))), by: k, class: rng.Intn(2), deadline: now + admission.Second}
+					k.taken = &request{id: admission.RequestID(fmt.Sprint(rng.Intn(30))), by: k, class: rng.Intn(2), deadline: now + admission.Second}
 					o.arrived(now, k.taken)
 				}
 			case 4:
@@ -56,8 +56,8 @@
 					out = append(out, h)
 				}
 			}
-			out = slices.DeleteFunc(out, func(h *attempt) bool { return h.over && h.doubt == admission.Delivered })
-			copies := map[admission.TaskID]int{}
+			out = slices.DeleteFunc(out, func(h *attempt) bool { return h.over && h.doubt == admission.Served })
+			copies := map[admission.RequestID]int{}
 			for _, h := range out {
 				if copies[h.request]++; copies[h.request] == 2 {
 					t.Errorf("event %d: two attempts of request %s are out", n, h.request)
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -16,7 +16,7 @@
 	// Due is the owner's timer.
 	Due(now admission.Time)
 	// Sent takes in an attempt.
-	Sent(now admission.Time, request admission.TaskID, engine admission.EngineID)
+	Sent(now admission.Time, request admission.RequestID, engine admission.EngineID)
 	// Moved takes in where a request of a class and a class of the operator's (empty: none) was and is.
 	Moved(class, policyClass string, was, is Place)
 	// Stop says farewell to them.
--- a/internal/router/probe.go
+++ b/internal/router/probe.go
@@ -26,7 +26,7 @@
 	o := p.e.o
 	for range p.e.wake {
 		how, report := p.guarded()
-		if how != admission.Delivered && how != admission.Unreachable && !p.begun {
+		if how != admission.Served && how != admission.Unreachable && !p.begun {
 			how, report = p.guarded() // a connection may break and an answer be spoilt once, from a sound engine
 		}
 		o.tell(func(now admission.Time) { o.module.Probed(now, p.e.name, how, report) })
@@ -107,7 +107,7 @@
 			p.r.Discard(n)
 			continue
 		}
-		how, report := admission.Delivered, admission.NoReport
+		how, report := admission.Served, admission.NoReport
 		if string(parts[1]) == "ill" || string(parts[1]) == "failed" {
 			how = admission.Errored
 		} else if len(parts) > 2 {
--- a/internal/router/query.go
+++ b/internal/router/query.go
@@ -106,7 +106,7 @@
 		return mysql.ErrWait
 	case len(r.Tenant) > 0 && !slices.Contains(n.Tenants, string(r.Tenant)):
 		return mysql.ErrTenant
-	case len(r.Once) > 0 && site.Lanes[class].Effect != admission.Deduplicated:
+	case len(r.Once) > 0 && site.Classes[class].Effect != admission.Deduplicated:
 		return mysql.ErrField
 	}
 	return nil
@@ -114,7 +114,7 @@
 
 // newRequest makes a request of a request; its statement and token lie in the session's buffer.
 func (s *session) newRequest(r *mysql.Request, class int) *request {
-	return &request{id: admission.TaskID(r.ID), by: s, class: class, className: s.o.network.Lanes[class], statement: r.Statement,
+	return &request{id: admission.RequestID(r.ID), by: s, class: class, className: s.o.network.Lanes[class], statement: r.Statement,
 		tables: mysql.Tables(r.Statement), tenant: max(0, slices.Index(s.o.network.Tenants, string(r.Tenant))),
 		key: string(r.Key), token: r.Once, reader: s.reader, foreseen: s.o.estimate(r, class)}
 }
@@ -124,7 +124,7 @@
 func (o *owner) estimate(r *mysql.Request, class int) admission.Foreseen {
 	work, memory := r.WorkMS, r.MemoryMB
 	if longest := o.network.Longest[class]; longest > 0 {
-		work = min(work, float64(longest.Milliseconds())*float64(o.site.Lanes[class].Threads))
+		work = min(work, float64(longest.Milliseconds())*float64(o.site.Classes[class].Threads))
 	}
 	if sizes := o.site.Memory; len(sizes) > 0 {
 		memory = min(memory, slices.Max(sizes))
--- a/internal/router/record.go
+++ b/internal/router/record.go
@@ -10,8 +10,8 @@
 	Ledger *ledger.Ledger
 	Failed func() error // why nothing can be recorded any more; nil: it can
 
-	Memory   *admission.Memory // what the process before knew; nil: nothing
-	Remember func([]byte)      // keeps what this one knows
+	Memory   *admission.Snapshot // what the process before knew; nil: nothing
+	Remember func([]byte)        // keeps what this one knows
 
 	rememberedAt admission.Time
 }
@@ -46,19 +46,21 @@
 	case e.Outcome == ledger.WrittenOff, e.Outcome == ledger.Left && e.MayRan && o.strict(t):
 		t.by.failed()
 	default:
-		t.by.rejected(o.site.ComeBack)
+		t.by.rejected(o.site.RetryAfter)
 	}
 	return true
 }
 
 // strict tells whether a second run of a request would do harm.
-func (o *owner) strict(t *request) bool { return o.site.Lanes[t.class].Effect != admission.Idempotent }
+func (o *owner) strict(t *request) bool {
+	return o.site.Classes[t.class].Effect != admission.Idempotent
+}
 
 // take records that a request is taken. Where nothing can be recorded any more, one that may not run twice is nacked: after a
 // crash nobody would know of it.
 func (o *owner) take(now admission.Time, t *request) bool {
 	if o.strict(t) && o.keep.Failed() != nil {
-		t.by.rejected(o.site.ComeBack)
+		t.by.rejected(o.site.RetryAfter)
 		return false
 	}
 	o.keep.Ledger.Take(now, t.id, t.class, t.deadline)
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -33,7 +33,7 @@
 
 // request is one that was taken and has no final answer yet. It is the owner's, but for what doesn't change.
 type request struct {
-	id        admission.TaskID
+	id        admission.RequestID
 	by        responder
 	class     int // its number in the settings
 	className string
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,7 +43,7 @@
 	if o.keep = with.Keep; o.keep != nil {
 		o.places = map[admission.EngineID]admission.Listing{}
 		if o.keep.Memory != nil {
-			o.module.Recall(o.now, o.keep.Memory)
+			o.module.Restore(o.now, o.keep.Memory)
 		}
 	}
 	if with.Peers != nil && start.Site.Peers {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -136,7 +136,7 @@
 func (w *wire) outcome(field string) admission.Outcome {
 	n := w.num(field)
 	if n == 0 {
-		return admission.Delivered
+		return admission.Served
 	}
 	if n < 249 || n > 255 {
 		w.fail(field, "0 or 249 to 255")
@@ -236,7 +236,7 @@
 		w.err = fmt.Errorf("line %d: boot: %w", w.line, err)
 		return
 	}
-	i := &instance{w: w, id: n, lanes: len(d.Lanes)}
+	i := &instance{w: w, id: n, lanes: len(d.Classes)}
 	w.routers[n] = i
 	if d.Peers && d.Gateways > 1 {
 		i.book = judgement.New(d.Gateways-1, judgement.Share(d, len(info.Texts("zones"))),
@@ -282,7 +282,7 @@
 			}
 		}
 	case "arrival":
-		id, cutoff, tables := admission.TaskID(w.id("handle")), w.micros("validUntilUs"), int(w.real("tables"))
+		id, cutoff, tables := admission.RequestID(w.id("handle")), w.micros("validUntilUs"), int(w.real("tables"))
 		work, lane, tenant := w.micros("estimateUs"), int(w.num("profile")), int(w.num("realm"))
 		key := strings.Clone(w.opt("object"))
 		options := w.num("options")
@@ -303,7 +303,7 @@
 		w.text("engine")
 		w.num("rttUs")
 	case "response":
-		id, how, cost := admission.TaskID(w.text("handle")), w.outcome("disposition"), w.num("usedUp")
+		id, how, cost := admission.RequestID(w.text("handle")), w.outcome("disposition"), w.num("usedUp")
 		w.num("rttUs")
 		w.num("n")
 		over := w.num("finished") != 0
@@ -312,7 +312,7 @@
 		work, memory := admission.Time(cost/4096)*admission.Millisecond, float64(cost%4096)*4
 		call = func(r *admission.Router) { r.Ended(now, id, how, over, work, memory, report) }
 	case "timed_out_client":
-		id := admission.TaskID(w.text("handle"))
+		id := admission.RequestID(w.text("handle"))
 		call = func(r *admission.Router) { r.ClientGone(now, id) }
 	case "due":
 		w.text("mark")
@@ -334,7 +334,7 @@
 			}
 		}
 	case "interim":
-		id, n := admission.TaskID(w.text("handle")), int(w.num("n"))
+		id, n := admission.RequestID(w.text("handle")), int(w.num("n"))
 		w.text("engine")
 		what, value := w.num("what"), w.real("value")
 		if what < 1 || what > 3 {
@@ -390,17 +390,17 @@
 
 func (a action) end() { a.w.reply = append(a.w.reply, '\n') }
 
-func (i *instance) HandOff(t admission.TaskID, e admission.EngineID, patience, _ admission.Time) {
+func (i *instance) Send(t admission.RequestID, e admission.EngineID, patience, _ admission.Time) {
 	i.act("relay").text(string(t)).text(string(e)).num(int64(patience) * tenth).end()
 }
-func (i *instance) Cancel(t admission.TaskID, n int) {
+func (i *instance) Cancel(t admission.RequestID, n int) {
 	i.act("abandon").text(string(t)).num(int64(n)).end()
 }
-func (i *instance) Nack(t admission.TaskID, comeBack admission.Time) {
+func (i *instance) Reject(t admission.RequestID, comeBack admission.Time) {
 	i.act("decline").text(string(t)).num(int64(comeBack) * tenth).end()
 }
-func (i *instance) WriteOff(t admission.TaskID) { i.act("surrender").text(string(t)).end() }
-func (i *instance) Terms(t admission.TaskID, memory float64, rank int) {
+func (i *instance) Fail(t admission.RequestID) { i.act("surrender").text(string(t)).end() }
+func (i *instance) Terms(t admission.RequestID, memory float64, rank int) {
 	i.act("grant_and_rank").text(string(t)).num(int64(memory)).num(int64(rank)).end()
 }
 func (i *instance) Probe(e admission.EngineID)                               { i.act("health_check").text(string(e)).end() }
