--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -39,6 +39,7 @@
 	ran, asked float64 // thread time of requests that ended lately, and the work they asked for
 	runs       float64 // and their time out: ran over it is the threads of one query, as held (query)
 	usual      float64 // work of the requests sent lately
+	expected   float64 // that of a usual one as the settings let expect: the same at all gateways
 	busy       float64 // of engines by their latest reports: what one without a fresh report counts as
 	bestPrice  float64 // of a usual request of the best class
 	pools      []pool
@@ -66,6 +67,7 @@
 		r.classes[i] = learned{run: run, work: run * float64(l.Threads), ease: 1, rank: 1}
 		r.usual += r.classes[i].work / float64(len(d.Classes))
 	}
+	r.expected = r.usual
 	r.runs = r.ran / r.runs // so that a query begins at the classes' mean threads
 	slices.SortStableFunc(r.byValue, func(a, b int) int {
 		return cmp.Compare(d.Classes[b].Value, d.Classes[a].Value)
@@ -129,7 +131,7 @@
 			e.util, e.report, e.reportAt = m.Util, m.Report, m.ReportAt
 			e.failures, e.failuresAt = m.Distrust, m.DistrustAt
 			if r.isCold(e) {
-				e.coldAt, e.cold = r.now/(2*r.d.TipAfter), math.Inf(1)
+				e.coldAt, e.cold = r.now/r.d.TipAfter, math.Inf(1)
 			}
 		}
 	}
@@ -443,23 +445,32 @@
 
 // coldRoom tells whether a cold engine can be sent some work. All routers together may send a multiple of its
 // present capacity, of which only the least is known. Where they share no budget by messages they take turns
-// by their numbers, a span each with one of rest: so no span sees two, and no part is below a request.
+// by their numbers, in spans as long as the engine takes to fall: so many at a time that each one's part
+// holds a usual request. Settings and clock alone say whose turn it is, and a window sees two spans at most.
+// What needs more than a part goes to warm engines. Where none is, every other span is one router's alone.
+// Harm: classes far heavier than usual ones wait for warm engines.
 func (r *Router) coldRoom(e *engine, t *request) bool {
-	const careful = 0.5        // of the budget: engines are slower than their cores tell
+	const careful = 0.5        // of the budget: so two spans together stay within it
 	d := &r.d.Classes[t.class] // its work is taken for rather too much until it is learned
 	work := r.coldWork(t) + float64(d.LatencyTarget)*float64(d.Threads)/(r.classes[t.class].requests+1)
 	all := careful * r.d.TipFactor * r.d.ColdShare * e.cores * float64(r.d.TipAfter)
 	if room, shared := r.host.ColdRoom(e.Engine, work/all); shared {
 		return room
 	}
-	turn := r.now / (2 * r.d.TipAfter)
-	if (turn+Time(e.hash))%Time(r.d.Gateways) != Time(r.d.Me) || r.now%(2*r.d.TipAfter) >= r.d.TipAfter {
+	span := r.now / r.d.TipAfter
+	turn, parts := span, Time(max(1, min(r.d.Gateways, int(all/r.expected))))
+	if !r.pools[r.poolOf(t)].warm {
+		if turn = span / 2; span%2 == 0 {
+			parts = 1
+		}
+	}
+	if ((turn+Time(e.hash))*parts+Time(r.d.Me))%Time(r.d.Gateways) >= parts {
 		return false
 	}
-	if e.coldAt != turn {
-		e.coldAt, e.cold = turn, 0
+	if e.coldAt != span {
+		e.coldAt, e.cold = span, 0
 	}
-	return e.cold+work <= all
+	return e.cold+work <= all/float64(parts)
 }
 
 // coldWork is what a request counts against a cold engine's budget: what nine of ten stay under, where told.
@@ -911,6 +922,9 @@
 		r.host.Subscribe()
 	}
 	r.look()
+	for n := range r.pools {
+		r.pools[n].warm = r.anyWarm(n)
+	}
 	for i := range r.engines {
 		e := &r.engines[i]
 		if e.State != Live {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -220,7 +220,7 @@
 		s.Arrived(0, "a", 5*Millisecond, 0, 0, "", 0, Foreseen{})
 		return s
 	},
-	"cold": func() *script { // routers take turns at a cold engine, with a rest between, each within the budget
+	"cold": func() *script { // where no engine is warm, every other span at a cold one is one router's alone, within the budget
 		d := deployment()
 		d.Gateways, d.WarmAfter = 3, 30*Second
 		s := start(d)
@@ -240,6 +240,39 @@
 		s.say("warm: %t", !s.isCold(e))
 		return s
 	},
+	"cold beside warm": func() *script { // as many routers at a time as the budget has parts for a usual request, others' turns after them
+		d := deployment()
+		d.Gateways, d.WarmAfter, d.Cores = 5, 30*Second, []float64{16}
+		s := start(d, "warm")
+		s.pass(Second)
+		s.list(Changes, Listing{Engine: "cold", Since: Second})
+		s.pass(Second + tick)
+		e := &s.engines[1]
+		s.classes[0].work, s.classes[0].requests = float64(300*Millisecond), 20
+		for range 6 {
+			s.now = s.at
+			var turn []int
+			for d.Me = range 5 {
+				if s.coldRoom(e, &request{class: 0}) {
+					turn = append(turn, d.Me)
+				}
+			}
+			s.say("gateways %v have their turn", turn)
+			s.at += d.TipAfter
+		}
+		d.Me = 0
+		for !s.coldRoom(e, &request{class: 0}) {
+			s.now += d.TipAfter
+		}
+		sent := 0
+		for ; s.coldRoom(e, &request{class: 0}); sent++ {
+			e.cold += 300 * float64(Millisecond)
+		}
+		s.say("gateway 0 sends %d of 300 ms in its turn", sent)
+		e.cold = 0
+		s.say("a request of 1.5 s, above a part: %t beside a warm engine", s.coldRoom(e, &request{class: 0, Foreseen: Foreseen{Upper: 1500 * Millisecond}}))
+		return s
+	},
 	"no engine": func() *script { // held while there is a chance, then answered at once
 		s := start(deployment())
 		s.arrives("a", 0, 0, "")
--- a/internal/admission/ramp_test.go
+++ b/internal/admission/ramp_test.go
@@ -25,6 +25,7 @@
 	told    Time    // within which all are told of the start
 	heavy   float64 // share of requests with twenty times the work
 	resets  float64 // share of attempts at the cold engine whose connection is reset
+	alone   bool    // the warm engine goes as the cold one comes
 }
 
 // rampSend is an attempt at the cold engine, which counts with the mean work of its class: that one of them turns out far heavier is
@@ -131,7 +132,11 @@
 		r.after(r.upTo(Second/4), h.arrive)
 		r.after(r.upTo(tick), h.tick)
 		r.after(since-r.now+r.upTo(r.told), func() {
-			h.router.Listed(h.at(), Changes, []Listing{{Engine: coldEngine, State: Live, Since: since}})
+			changes := []Listing{{Engine: coldEngine, State: Live, Since: since}}
+			if r.alone {
+				changes = append(changes, Listing{Engine: warmEngine, State: Gone})
+			}
+			h.router.Listed(h.at(), Changes, changes)
 		})
 	}
 	for until := since + r.d.WarmAfter - r.connect; ; {
@@ -144,8 +149,21 @@
 	}
 }
 
-// worst is the most work that arrived in any window of the length after which the engine falls over, and how many requests that is
-// of what the settings allow and put down to chance.
+// budget is the work that the settings allow the cold engine within the time after which it falls over.
+func (r *ramp) budget() float64 {
+	return r.d.TipFactor * r.d.ColdShare * r.d.Cores[0] * float64(r.d.TipAfter)
+}
+
+// use is the work sent, as a share of the budget over all the time that the engine is cold.
+func (r *ramp) use() (share float64) {
+	for _, s := range r.sends {
+		share += s.work / r.budget() * float64(r.d.TipAfter) / float64(r.d.WarmAfter)
+	}
+	return share
+}
+
+// worst is the most work that arrived in any window of the length after which the engine falls over, and how much of mean work the
+// settings allow and put down to chance.
 func (r *ramp) worst() (most, allowed float64) {
 	slices.SortFunc(r.sends, func(a, b rampSend) int { return int(a.at - b.at) })
 	sum, all, from := 0.0, 0.0, 0
@@ -157,7 +175,7 @@
 		most = max(most, sum)
 	}
 	mean := all / float64(len(r.sends))
-	budget := r.d.TipFactor * r.d.ColdShare * r.d.Cores[0] * float64(r.d.TipAfter) / mean
+	budget := r.budget() / mean
 	return most, (budget + 2*math.Sqrt(budget) + 2) * mean
 }
 
@@ -190,10 +208,13 @@
 		{"twenty, tight", tight, 20, 20, ramp{connect: 150 * Millisecond, apart: 50 * Millisecond}},
 		{"thirty, a long window", long, 30, 20, ramp{connect: 400 * Millisecond, resets: 0.1}},
 		{"three hundred", base, 300, 2, ramp{connect: 250 * Millisecond, apart: 50 * Millisecond}},
+		{"six, no other engine", base, 6, 20, ramp{connect: 250 * Millisecond, alone: true}},
+		{"thirty, no other engine", base, 30, 20, ramp{connect: 250 * Millisecond, apart: 100 * Millisecond, alone: true}},
+		{"thirty, no other engine, told over 5 s", base, 30, 20, ramp{connect: 250 * Millisecond, told: 5 * Second, alone: true}},
 	} {
 		t.Run(c.what, func(t *testing.T) {
 			var highest float64
-			sent := 0
+			sent, use := 0, 0.0
 			for seed := range c.seeds {
 				r := c.ramp
 				r.rng, r.d, r.means = rand.New(rand.NewSource(int64(seed))), &c.d, means
@@ -201,6 +222,7 @@
 				if sent += len(r.sends); len(r.sends) == 0 {
 					continue
 				}
+				use += r.use() / float64(c.seeds)
 				most, allowed := r.worst()
 				if highest = max(highest, most/allowed); most > allowed {
 					t.Errorf("seed %d: %.0f ms of work within the window, %.0f allowed", seed, most/float64(Millisecond),
@@ -210,7 +232,11 @@
 			if sent < c.seeds {
 				t.Errorf("%d requests sent to the cold engine in %d days: the ramp was not tried", sent, c.seeds)
 			}
-			t.Logf("%d sent, at most %.2f of what is allowed", sent, highest)
+			const least = 0.1 // though all have more to send than fits: what no router may send is lost to all
+			if use < least {
+				t.Errorf("only %.3f of the budget is used", use)
+			}
+			t.Logf("%d sent, %.3f of the budget, at most %.2f of what is allowed in a window", sent, use, highest)
 		})
 	}
 }
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -29,6 +29,7 @@
 type pool struct {
 	bar      float64 // least price of a request taken on, as a part of the best class's
 	starving bool    // a held request has used up much of its time, since the bar last moved
+	warm     bool    // an engine of it is live and not cold, as of the last tick
 	wanted   Time    // when a held request was last given up for want of room
 }
 
@@ -109,6 +110,16 @@
 // in tells whether an engine belongs to a pool.
 func (r *Router) in(pool int, e *engine) bool { return pool == 0 || r.gate.In(pool, &e.Listing) }
 
+// anyWarm tells whether an engine of a pool is live and not cold.
+func (r *Router) anyWarm(pool int) bool {
+	for i := range r.engines {
+		if e := &r.engines[i]; e.State == Live && !r.isCold(e) && r.in(pool, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // Guard hands over what an operator's classes allow, before the first request that has one.
 func (r *Router) Guard(g Gate) { r.gate = g }
 
