--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -31,6 +31,7 @@
 	Classes      []Class
 	Gateways     int
 	PeerMessages bool
+	Zones        []string // the engines are in the first one
 	Engines      []*Engine
 
 	c         *Case
@@ -42,7 +43,7 @@
 	d.c = c
 	var endpoints []fake.Endpoint
 	for _, e := range d.Engines {
-		endpoints = append(endpoints, fake.Endpoint{ID: e.Name, Address: e.Address, Zone: "sala-norte", Kind: "std-8", State: "Ready", Weight: 8})
+		endpoints = append(endpoints, fake.Endpoint{ID: e.Name, Address: e.Address, Zone: d.Zones[0], Kind: "std-8", State: "Ready", Weight: 8})
 	}
 	discovery, err := fake.StartDiscovery("127.0.0.1:0", endpoints)
 	if err != nil {
@@ -52,7 +53,7 @@
 	c.AtEnd(discovery.Close)
 }
 
-// settings returns the settings of a gateway, with the figures of a small deployment.
+// settings returns the settings that a gateway starts with from now on, with the figures of a small deployment.
 func (d *Deployment) settings(me int) map[string]any {
 	var classes []map[string]any
 	var threads []int
@@ -64,7 +65,7 @@
 		loads = append(loads, false)
 	}
 	return map[string]any{
-		"fleetSize": d.Gateways, "me": me, "zones": []string{"sala-norte"}, "skus": []string{"std-8"}, "classes": classes,
+		"fleetSize": d.Gateways, "me": me, "zones": d.Zones, "skus": []string{"std-8"}, "classes": classes,
 		"familyInfo": map[string]any{"dop": threads, "kindCores": []float64{8}, "saysCost": true, "loads": loads, "blockedByLoads": loads,
 			"progressPaceUs": 0},
 		"limits": map[string]any{"cancel": true, "probes": true, "peerMessages": d.PeerMessages, "maxAttempts": 4, "multiplex": 32,
@@ -81,6 +82,7 @@
 
 	d         *Deployment
 	me        int
+	label     string // of its files; that of a gateway whose name is there once is its name
 	arguments string // after "serve"
 
 	mu      sync.Mutex
@@ -94,7 +96,8 @@
 	if err != nil {
 		d.c.Fatal("%v", err)
 	}
-	g := &Gateway{Name: fmt.Sprintf("g%d", me), Address: address, d: d, me: me, arguments: arguments}
+	name := fmt.Sprintf("g%d", me)
+	g := &Gateway{Name: name, Address: address, d: d, me: me, label: name, arguments: arguments}
 	d.c.AtEnd(g.Kill)
 	return g
 }
@@ -123,11 +126,11 @@
 	if err != nil {
 		c.Fatal("%v", err)
 	}
-	file := filepath.Join(c.Folder, g.Name+".json")
+	file := filepath.Join(c.Folder, g.label+".json")
 	if err := os.WriteFile(file, config, 0o600); err != nil {
 		c.Fatal("%v", err)
 	}
-	log, err := os.OpenFile(filepath.Join(c.Folder, g.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(c.Folder, g.label+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		c.Fatal("%v", err)
 	}
@@ -146,7 +149,7 @@
 	g.mu.Lock()
 	g.command, g.ended = command, ended
 	g.mu.Unlock()
-	c.Log("%s is started, process %d", g.Name, command.Process.Pid)
+	c.Log("%s is started, process %d", g.label, command.Process.Pid)
 	g.awaitReady(ended)
 }
 
@@ -164,7 +167,7 @@
 		ready := session.Ping(time.Second)
 		session.Close()
 		if ready {
-			g.d.c.Log("%s answers COM_PING", g.Name)
+			g.d.c.Log("%s answers COM_PING", g.label)
 			return
 		}
 	}
@@ -189,15 +192,27 @@
 	g.mu.Unlock()
 	if ended != nil {
 		<-ended
-		g.d.c.Log("%s is killed", g.Name)
+		g.d.c.Log("%s has ended", g.label)
 	}
 }
 
 // LogText returns what the gateway's processes have logged.
 func (g *Gateway) LogText() string {
-	text, err := os.ReadFile(filepath.Join(g.d.c.Folder, g.Name+".log"))
+	text, err := os.ReadFile(filepath.Join(g.d.c.Folder, g.label+".log"))
 	if err != nil {
 		return err.Error()
 	}
 	return string(text)
 }
+
+// HasEnded reports whether the process that was started last has ended by itself.
+func (g *Gateway) HasEnded() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.ended:
+		return true
+	default:
+		return false
+	}
+}
