--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -102,16 +102,28 @@
 	Class     string
 	ID        uint64
 	Wait      time.Duration
-	Retry     bool // the mark of a client's retry, which has a new id
+	Retry     bool   // the mark of a client's retry, which has a new id
+	Once      string // the token by which engines drop repeats; empty: none
 	Statement string
 }
 
+func (q *Query) packet() []byte {
+	fields := fmt.Sprintf("class=%s,id=%s,wait=%d", q.Class, IDText(q.ID), q.Wait.Milliseconds())
+	if q.Retry {
+		fields += ",retry=1"
+	}
+	if q.Once != "" {
+		fields += ",once=" + q.Once
+	}
+	payload := string(mysql.Query) + "/* " + fields + " */ " + q.Statement
+	length := len(payload)
+	return append([]byte{byte(length), byte(length >> 8), byte(length >> 16), 0}, payload...)
+}
+
 // Ask sends a query and waits for its answer, up to the time that the client waits and half a second.
 func (s *Session) Ask(q Query) *Answer {
-	packet := mysql.AppendQuery(nil, mysql.QueryFields{Class: q.Class, ID: q.ID, WaitMS: q.Wait.Milliseconds(), Retry: q.Retry},
-		func(b []byte) []byte { return append(b, q.Statement...) })
 	s.socket.SetDeadline(time.Now().Add(q.Wait + 500*time.Millisecond))
-	if _, err := s.socket.Write(packet); err != nil {
+	if _, err := s.socket.Write(q.packet()); err != nil {
 		return &Answer{Lost: err}
 	}
 	a := &Answer{}
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 // Run is what became of one request at an engine.
 type Run struct {
 	Engine, ID, Statement string
+	Token                 string // by which the engines of a zone drop repeats; empty: none
 	At                    time.Time
 	Committed             bool // the effect of its statement is there
 }
@@ -28,9 +30,11 @@
 }
 
 // Engine is a stand-in of an engine. It runs what comes at once, and answers each request once. What is given up before its effect
-// is there has no effect; what is given up later is answered no more.
+// is there has no effect; what is given up later is answered no more. A request whose token has had its effect at an engine of the
+// same zone is answered without a second effect.
 type Engine struct {
 	Name, Address string
+	Zone          string // empty: the deployment's first
 
 	c        *Case
 	works    map[string]Work // by class
@@ -129,7 +133,7 @@
 func (e *Engine) begin(conn net.Conn, id, fields, statement string) {
 	class := string(resp.FindField([]byte(fields), "kind"))
 	work := e.works[class]
-	run := &Run{Engine: e.Name, ID: id, Statement: statement, At: time.Now()}
+	run := &Run{Engine: e.Name, ID: id, Statement: statement, Token: string(resp.FindField([]byte(fields), "token")), At: time.Now()}
 	r := &engineRequest{conn: conn, id: id, run: run, rows: max(1, work.Rows)}
 	e.c.Log("%s begins %s, class %s: %s", e.Name, id, class, statement)
 	e.mu.Lock()
@@ -145,12 +149,19 @@
 func (e *Engine) commit(r *engineRequest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.open[r] {
+	if e.open[r] && e.hadEffect(r.run.Token) {
+		e.c.Log("%s drops the repeat of %s: its token had its effect", e.Name, r.id)
+	} else if e.open[r] {
 		r.run.Committed = true
 		e.c.Log("%s has done %s: its effect is there", e.Name, r.id)
 	}
 }
 
+// hadEffect reports whether a token has had its effect here. Each zone of a case that has tokens has one engine.
+func (e *Engine) hadEffect(token string) bool {
+	return token != "" && slices.ContainsFunc(e.runs, func(r *Run) bool { return r.Token == token && r.Committed })
+}
+
 func (e *Engine) finish(r *engineRequest) {
 	e.mu.Lock()
 	alive := e.open[r]
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -22,6 +23,8 @@
 	Effect  string // read_like, idempotency_key or non_idempotent
 	Aim     time.Duration
 	Wait    time.Duration
+	Group   string        // of engines that drop repeats, where the effect is idempotency_key
+	Window  time.Duration // in which they do
 	Worth   float64
 	Threads int
 }
@@ -31,7 +34,7 @@
 	Classes      []Class
 	Gateways     int
 	PeerMessages bool
-	Zones        []string // the engines are in the first one
+	Zones        []string
 	Engines      []*Engine
 
 	c         *Case
@@ -43,7 +46,8 @@
 	d.c = c
 	var endpoints []fake.Endpoint
 	for _, e := range d.Engines {
-		endpoints = append(endpoints, fake.Endpoint{ID: e.Name, Address: e.Address, Zone: d.Zones[0], Kind: "std-8", State: "Ready", Weight: 8})
+		zone := cmp.Or(e.Zone, d.Zones[0])
+		endpoints = append(endpoints, fake.Endpoint{ID: e.Name, Address: e.Address, Zone: zone, Kind: "std-8", State: "Ready", Weight: 8})
 	}
 	discovery, err := fake.StartDiscovery("127.0.0.1:0", endpoints)
 	if err != nil {
@@ -59,8 +63,12 @@
 	var threads []int
 	var loads []bool
 	for _, class := range d.Classes {
-		classes = append(classes, map[string]any{"name": class.Name, "effect": class.Effect, "sloUs": class.Aim.Microseconds(),
-			"deadlineUs": class.Wait.Microseconds(), "worth": class.Worth, "lateWorth": 0.5, "aimStretch": 3})
+		settings := map[string]any{"name": class.Name, "effect": class.Effect, "sloUs": class.Aim.Microseconds(),
+			"deadlineUs": class.Wait.Microseconds(), "worth": class.Worth, "lateWorth": 0.5, "aimStretch": 3}
+		if class.Group != "" {
+			settings["group"], settings["windowUs"] = class.Group, class.Window.Microseconds()
+		}
+		classes = append(classes, settings)
 		threads = append(threads, class.Threads)
 		loads = append(loads, false)
 	}
