--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -83,7 +83,7 @@
 // Policy runs "magpiebank policy" at a gateway and returns what it printed.
 func (g *Gateway) Policy(arguments ...string) (output string, err error) {
 	c := g.d.c
-	command := exec.Command("bin/magpiebank-operator", append(append([]string{"policy"}, arguments...), "--control", g.Control)...)
+	command := exec.Command("bin/magpiebank", append(append([]string{"policy"}, arguments...), "--control", g.Control)...)
 	command.Dir = c.Root
 	out, err := command.CombinedOutput()
 	c.Log("policy %s at %s: %s (error: %v)", strings.Join(arguments, " "), g.Name, strings.TrimSpace(string(out)), err)
