Review: the stand-ins without what only the case left out needed

Cause: the second process of a name, budgets and answers of several rows were for a test that is no case any more.

Change: they are taken out of review/standin; the cases' programs are as they were.

--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -4,10 +4,8 @@
 
 import (
 	"bufio"
-	"fmt"
 	"net"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,7 +24,6 @@
 type Work struct {
 	Commit time.Duration // until the effect is there; what is given up before has none
 	Answer time.Duration // until the answer goes out
-	Rows   int           // of the answer; 0: one
 }
 
 // Engine is a stand-in of an engine. It runs what comes at once, and answers each request once. What is given up before its effect
@@ -49,7 +46,6 @@
 	conn net.Conn
 	id   string
 	run  *Run
-	rows int
 	ends []*time.Timer
 }
 
@@ -134,7 +130,7 @@
 	class := string(resp.FindField([]byte(fields), "kind"))
 	work := e.works[class]
 	run := &Run{Engine: e.Name, ID: id, Statement: statement, Token: string(resp.FindField([]byte(fields), "token")), At: time.Now()}
-	r := &engineRequest{conn: conn, id: id, run: run, rows: max(1, work.Rows)}
+	r := &engineRequest{conn: conn, id: id, run: run}
 	e.c.Log("%s begins %s, class %s: %s", e.Name, id, class, statement)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -169,11 +165,7 @@
 	e.mu.Unlock()
 	if alive {
 		e.c.Log("%s answers %s", e.Name, r.id)
-		var rows strings.Builder
-		for row := range r.rows {
-			fmt.Fprintf(&rows, "%s\t%d of %d\tdone\n", r.id, row+1, r.rows)
-		}
-		e.write(r.conn, r.id, "data", "pages=1,cost=100.0,need=64", rows.String())
+		e.write(r.conn, r.id, "data", "pages=1,cost=100.0,need=64", r.id+"\t1 of 1\tdone\n")
 	}
 }
 
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -12,9 +12,8 @@
 
 // Fleet is what the gateways' operator's files have in common.
 type Fleet struct {
-	Voters  []string // on policies, and on shares of budgets
-	Lease   string
-	Budgets string // term of a share of the budgets; empty: there are none
+	Voters []string
+	Lease  string
 
 	d     *Deployment
 	key   string
@@ -45,35 +44,20 @@
 	return gateways
 }
 
-// NewTwin returns a second gateway of the same name, with addresses and files of its own.
-func (f *Fleet) NewTwin(of *Gateway) *Gateway {
-	address, err := FreeAddress()
-	if err != nil {
-		f.d.c.Fatal("%v", err)
-	}
-	twin := f.d.NewGateway(of.me, "")
-	twin.label += "-twin"
-	f.join(twin, address)
-	return twin
-}
-
 func (f *Fleet) join(g *Gateway, address string) {
-	g.Control = filepath.Join(f.d.c.Folder, g.label+".sock")
+	g.Control = filepath.Join(f.d.c.Folder, g.Name+".sock")
 	g.arguments = "--operator " + f.writeFile(g, address)
 }
 
 func (f *Fleet) writeFile(g *Gateway, address string) string {
-	folder := filepath.Join(f.d.c.Folder, g.label)
+	folder := filepath.Join(f.d.c.Folder, g.Name)
 	fleet := map[string]any{"listen": address, "seeds": f.seeds, "key": f.key, "control": g.Control,
 		"policy": map[string]any{"voters": f.Voters, "folder": folder + "-policy", "lease": f.Lease, "within": "5s"}}
-	if f.Budgets != "" {
-		fleet["budgets"] = map[string]any{"keepers": f.Voters, "term": f.Budgets, "folder": folder + "-budgets"}
-	}
 	text, err := json.MarshalIndent(map[string]any{"fleet": fleet, "statements": map[string]any{}}, "", " ")
 	if err != nil {
 		f.d.c.Fatal("%v", err)
 	}
-	path := filepath.Join(f.d.c.Folder, g.label+".jsonnet")
+	path := filepath.Join(f.d.c.Folder, g.Name+".jsonnet")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		f.d.c.Fatal("%v", err)
 	}
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -90,7 +90,6 @@
 
 	d         *Deployment
 	me        int
-	label     string // of its files; that of a gateway whose name is there once is its name
 	arguments string // after "serve"
 
 	mu      sync.Mutex
@@ -104,8 +103,7 @@
 	if err != nil {
 		d.c.Fatal("%v", err)
 	}
-	name := fmt.Sprintf("g%d", me)
-	g := &Gateway{Name: name, Address: address, d: d, me: me, label: name, arguments: arguments}
+	g := &Gateway{Name: fmt.Sprintf("g%d", me), Address: address, d: d, me: me, arguments: arguments}
 	d.c.AtEnd(g.Kill)
 	return g
 }
@@ -134,11 +132,11 @@
 	if err != nil {
 		c.Fatal("%v", err)
 	}
-	file := filepath.Join(c.Folder, g.label+".json")
+	file := filepath.Join(c.Folder, g.Name+".json")
 	if err := os.WriteFile(file, config, 0o600); err != nil {
 		c.Fatal("%v", err)
 	}
-	log, err := os.OpenFile(filepath.Join(c.Folder, g.label+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	log, err := os.OpenFile(filepath.Join(c.Folder, g.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		c.Fatal("%v", err)
 	}
@@ -157,7 +155,7 @@
 	g.mu.Lock()
 	g.command, g.ended = command, ended
 	g.mu.Unlock()
-	c.Log("%s is started, process %d", g.label, command.Process.Pid)
+	c.Log("%s is started, process %d", g.Name, command.Process.Pid)
 	g.awaitReady(ended)
 }
 
@@ -175,7 +173,7 @@
 		ready := session.Ping(time.Second)
 		session.Close()
 		if ready {
-			g.d.c.Log("%s answers COM_PING", g.label)
+			g.d.c.Log("%s answers COM_PING", g.Name)
 			return
 		}
 	}
@@ -200,27 +198,15 @@
 	g.mu.Unlock()
 	if ended != nil {
 		<-ended
-		g.d.c.Log("%s has ended", g.label)
+		g.d.c.Log("%s has ended", g.Name)
 	}
 }
 
 // LogText returns what the gateway's processes have logged.
 func (g *Gateway) LogText() string {
-	text, err := os.ReadFile(filepath.Join(g.d.c.Folder, g.label+".log"))
+	text, err := os.ReadFile(filepath.Join(g.d.c.Folder, g.Name+".log"))
 	if err != nil {
 		return err.Error()
 	}
 	return string(text)
 }
-
-// HasEnded reports whether the process that was started last has ended by itself.
-func (g *Gateway) HasEnded() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	select {
-	case <-g.ended:
-		return true
-	default:
-		return false
-	}
-}
