Review case 8: after a stall a gateway sends new work to an engine that drains

Cause: after a stall the sessions' requests can reach the owner before the list's answer that came earlier, and nothing looks at the list before a write.

--- a/review/standin-2/lab.go
+++ b/review/standin-2/lab.go
@@ -108,6 +108,9 @@
 	fmt.Print(line)
 }
 
+// Since returns the time from the start of the run to t, as in the record.
+func (l *Lab) Since(t time.Time) time.Duration { return t.Sub(l.began) }
+
 // atEnd has f called at the end of the run. The functions are called in reverse order.
 func (l *Lab) atEnd(f func()) {
 	l.mu.Lock()
--- a/review/standin-2/settings.go
+++ b/review/standin-2/settings.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-
-	"magpiebank/internal/testbed/fake"
 )
 
 // ClassSetting is a class in the settings. Times are in milliseconds.
@@ -29,32 +27,48 @@
 	{Name: "carga-actas", Aim: 4000, Deadline: 20000, Worth: 10, Effect: "non_idempotent", Threads: 2, Loads: true},
 }
 
+// Suva is the classes of suva-campus: names, effects, aims, deadlines, worth and threads of its brief and site file.
+var Suva = []ClassSetting{
+	{Name: "lookup", Aim: 600, Deadline: 3000, Worth: 1, Effect: "read_like", Threads: 1},
+	{Name: "report", Aim: 1500, Deadline: 20000, Worth: 12, Effect: "read_like", Threads: 4},
+	{Name: "load", Aim: 4000, Deadline: 25000, Worth: 12, Effect: "non_idempotent", Threads: 2, Loads: true},
+}
+
 // Deployment is what the gateways of a case have in common.
 type Deployment struct {
-	Classes   []ClassSetting
-	Gateways  int
-	Zones     []string
-	Peers     bool // the site allows messages between gateways
-	Discovery *fake.Discovery
+	Classes  []ClassSetting
+	Gateways int
+	Zones    []string
+	Peers    bool // the site allows messages between gateways
+	Grace    int  // milliseconds after which nothing goes to an engine that drains; 0: 2000
+	List     *Coordinator
 }
 
 // Publish starts the coordinator with a list of engines.
-func (l *Lab) Publish(d *Deployment, engines ...*Engine) error {
-	var list []fake.Endpoint
+func (l *Lab) Publish(d *Deployment, engines ...*Engine) (err error) {
+	var list []Entry
 	for _, e := range engines {
-		list = append(list, fake.Endpoint{ID: e.ID, Address: e.Address, Zone: e.Zone, Kind: "std-8", Cell: e.Cell, State: "Ready", Weight: 8})
+		list = append(list, e.entry("Ready"))
 	}
-	discovery, err := fake.StartDiscovery("127.0.0.1:0", list)
-	if err != nil {
-		return err
-	}
-	d.Discovery = discovery
-	l.atEnd(discovery.Close)
-	return nil
+	d.List, err = l.StartCoordinator(list)
+	return err
+}
+
+func (e *Engine) entry(state string) Entry {
+	return Entry{ID: e.ID, Address: e.Address, Zone: e.Zone, Kind: "std-8", Cell: e.Cell, State: state, Weight: 8}
+}
+
+// PublishState publishes another state of an engine, and returns the event's index.
+func (d *Deployment) PublishState(e *Engine, state string) (index int) {
+	return d.List.Publish(e.entry(state))
 }
 
 // Config returns the configuration of the gateway with the given number.
 func (d *Deployment) Config(number int) map[string]any {
+	grace := d.Grace
+	if grace == 0 {
+		grace = 2000
+	}
 	var classes, threads, loads, waits []any
 	for _, c := range d.Classes {
 		class := map[string]any{"name": c.Name, "sloUs": c.Aim * 1000, "deadlineUs": c.Deadline * 1000, "worth": c.Worth, "lateWorth": 0.4,
@@ -66,8 +80,8 @@
 	}
 	return map[string]any{
 		"limits":      map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"coordinator": d.Discovery.Address,
-		"known":       func() json.RawMessage { return d.Discovery.Snapshot() },
+		"coordinator": d.List.Address,
+		"known":       func() json.RawMessage { return d.List.Snapshot() },
 		"settings": map[string]any{
 			"classes": classes, "clients": map[string]any{"marksRetry": true}, "discovery": "push", "fleetSize": d.Gateways, "me": number,
 			"familyInfo": map[string]any{"blockedByLoads": waits, "dop": threads, "grants": true, "kindCores": []int{8}, "lanesCount": true,
@@ -75,7 +89,7 @@
 			"limits": map[string]any{"cancel": true, "connectTimeoutUs": 250_000, "keepaliveUs": 30_000_000, "maxAttempts": 4, "maxOpen": 20000,
 				"maxRetryAfterUs": 2_000_000, "multiplex": 32, "parallelTries": false, "peerMessages": d.Peers, "probes": true, "retryAfter": true},
 			"penalties": map[string]any{"probe": 0.011},
-			"rules": map[string]any{"answerSlackUs": 20_000, "coldShare": 0.34, "overloadFactor": 3, "stopSendingWithinUs": 2_000_000,
+			"rules": map[string]any{"answerSlackUs": 20_000, "coldShare": 0.34, "overloadFactor": 3, "stopSendingWithinUs": grace * 1000,
 				"tipAfterUs": 1_500_000, "warmAfterUs": 14_000_000},
 			"skus": []string{"std-8"}, "stats": map[string]any{"fields": []string{"util"}, "how": "probe"}, "worthBy": "request",
 			"zones": d.Zones, "layer": 0, "locality": 0,
