Review case 7: a gateway cut off one way forgets a policy that it had taken

Cause: the follower takes the open proposal from the leader's unconfirmed broadcasts, but the decided number from confirmed replies only, so a decided policy is dropped before it is learned.

--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -4,9 +4,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"os/exec"
 	"strings"
+	"sync"
 )
 
 // Quimper is the classes of quimper-index, a site that allows messages between gateways: names, effects, aims, deadlines, worth and threads of
@@ -37,6 +40,7 @@
 // Member is what one process of a fleet has of its own.
 type Member struct {
 	Address string // for datagrams
+	Relay   *Relay // by which the others reach it; nil: directly
 	Control string // path of the control socket
 	File    string // path of the operator's file
 	label   string
@@ -57,6 +61,9 @@
 // WriteOperatorFile writes a member's operator's file. statements is its field of that name; nil: it has none.
 func (l *Lab) WriteOperatorFile(f *Fleet, m *Member, statements map[string]any) error {
 	fleet := map[string]any{"listen": m.Address, "seeds": f.Seeds, "key": f.KeyFile, "control": m.Control}
+	if m.Relay != nil {
+		fleet["advertise"] = m.Relay.Address
+	}
 	add := func(field string, settings map[string]any, folder string) {
 		if settings == nil {
 			return
@@ -79,9 +86,11 @@
 
 // PolicyStatus is what "policy status --json" tells, as far as the cases need it.
 type PolicyStatus struct {
-	Number uint64  `json:"number"`
-	Lease  float64 `json:"lease"`
-	Ready  bool    `json:"ready"`
+	Number  uint64  `json:"number"`
+	Decided uint64  `json:"decided"`
+	Offered string  `json:"offered"`
+	Lease   float64 `json:"lease"`
+	Ready   bool    `json:"ready"`
 }
 
 // PolicyStatus asks a member for its policy.
@@ -93,3 +102,52 @@
 	status := &PolicyStatus{}
 	return status, json.Unmarshal(out, status)
 }
+
+// Relay is a stand-in of the network on the way to one member: it listens at the address that the member advertises, and passes
+// datagrams on to the member. Cut drops those of one sender.
+type Relay struct {
+	Address string
+	socket  *net.UDPConn
+	mu      sync.Mutex
+	cut     string // address of the sender whose datagrams are dropped; empty: none
+}
+
+// StartRelay starts a relay to a member's address.
+func (l *Lab) StartRelay(to string) (*Relay, error) {
+	target, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{Address: socket.LocalAddr().String(), socket: socket}
+	l.atEnd(func() { socket.Close() })
+	go func() {
+		buffer := make([]byte, 2048)
+		for {
+			n, from, err := socket.ReadFromUDP(buffer)
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err == nil && !r.drops(from.String()) {
+				_, _ = socket.WriteToUDP(buffer[:n], target) // a member that is down receives nothing
+			}
+		}
+	}()
+	return r, nil
+}
+
+func (r *Relay) drops(from string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut == from
+}
+
+// Cut has the relay drop the datagrams of a sender from now on; an empty address ends that.
+func (r *Relay) Cut(from string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = from
+}
