--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -86,11 +86,12 @@
 
 // PolicyStatus is what "policy status --json" tells, as far as the cases need it.
 type PolicyStatus struct {
-	Number  uint64  `json:"number"`
-	Decided uint64  `json:"decided"`
-	Offered string  `json:"offered"`
-	Lease   float64 `json:"lease"`
-	Ready   bool    `json:"ready"`
+	Number  uint64   `json:"number"`
+	Decided uint64   `json:"decided"`
+	Offered string   `json:"offered"`
+	Voters  []string `json:"voters"`
+	Lease   float64  `json:"lease"`
+	Ready   bool     `json:"ready"`
 }
 
 // PolicyStatus asks a member for its policy.
